Process trials of failures; unknown stays unknown

Cause: a request whose first attempt went silent was refused as not run when no other upstream was left for a second one: the refusal spoke of the last attempt only. A user would send it again in good faith. Ruled out: a silent first attempt counted as not run; it was sent. Change: the least certain ending of all attempts decides the outcome; an upstream whose connection went silent may be tried again over a new one; trials with killed, frozen, wiped, cut-off processes. Conclusion: not run is said only when every attempt is certain.

--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -104,7 +104,9 @@
 	}
 }
 
-func clone(r *wire.Record) *wire.Record { return record(r.GetIncarnation(), r.GetSequence(), r.GetState()) }
+func clone(r *wire.Record) *wire.Record {
+	return record(r.GetIncarnation(), r.GetSequence(), r.GetState())
+}
 
 // newestLeft reports whether the newest run's last word was that it leaves.
 func newestLeft(sent []*wire.Record) bool {
--- a/core/replicator/group_test.go
+++ b/core/replicator/group_test.go
@@ -40,8 +40,8 @@
 // node is one replica of the fake group with its disk and its clock.
 type node struct {
 	*Replica
-	disk  *disk
-	up    bool
+	disk *disk
+	up   bool
 	// cut is set while no message passes to or from the replica.
 	cut   bool
 	clock time.Time
--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -42,10 +42,13 @@
 // attempts tries upstreams until one answers or there is no more reason to try.
 func (f *Forwarder) attempts(j *job, d *door) result {
 	var tried []*balancer.Upstream
+	// ending is the least certain of all attempts so far: once one may have run the request, no later
+	// failure makes it certain again that it did not run.
+	ending := retrier.Unrun
 	for {
 		u, refusal := f.place(j, d, tried)
 		if refusal != nil {
-			return result{refusal: refusal, ending: retrier.Unrun}
+			return result{refusal: qualify(refusal, ending), ending: ending}
 		}
 		j.tries++
 		out := f.attempt(j, u, f.silence(j, d))
@@ -56,7 +59,12 @@
 		}
 		u.Release()
 		f.noteFailure(now, j, d, u, out)
-		tried = append(tried, u)
+		if out.ending == retrier.Unknown {
+			ending = retrier.Unknown
+		}
+		if !out.silent {
+			tried = append(tried, u)
+		}
 		again := j.ctx.Err() == nil && d.budget.Again(retrier.Attempt{
 			Ending:     out.ending,
 			Idempotent: j.idempotent(),
@@ -65,7 +73,8 @@
 			Tries:      j.tries,
 		})
 		if !again {
-			out.refusal = f.giveUp(now, j, d, out)
+			out.ending = ending
+			out.refusal = f.giveUp(now, j, d, ending)
 			return out
 		}
 	}
@@ -271,10 +280,19 @@
 	}
 }
 
+// qualify words a refusal for a request that an earlier attempt may have run.
+func qualify(refusal *refuser.Refusal, ending retrier.Ending) *refuser.Refusal {
+	if ending == retrier.Unknown {
+		refusal.Outcome = refuser.Unknown
+		refusal.Detail += "; an earlier attempt may have run"
+	}
+	return refusal
+}
+
 // giveUp words the final answer. Only what is certain counts as not run.
-func (f *Forwarder) giveUp(now time.Time, j *job, d *door, out result) *refuser.Refusal {
+func (f *Forwarder) giveUp(now time.Time, j *job, d *door, ending retrier.Ending) *refuser.Refusal {
 	refusal := refuse(http.StatusServiceUnavailable, "failed", "the upstreams can't take the request", d.retryAt(now, j))
-	if out.ending == retrier.Unrun {
+	if ending == retrier.Unrun {
 		return refusal
 	}
 	refusal.Outcome = refuser.Unknown
--- /dev/null
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -0,0 +1,366 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilrail.example/core/balancer"
+	"chervilrail.example/core/cataloguer"
+	"chervilrail.example/core/chooser"
+	"chervilrail.example/core/granter"
+	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/core/wire"
+	"chervilrail.example/entry/internal/directory"
+	"chervilrail.example/entry/internal/refuser"
+)
+
+const testCatalogue = `
+[region almaty]
+zones = almaty-a
+cap = 100000
+floor = 1
+
+[service listings]
+regions = almaty
+
+[entry all]
+service = listings
+owner = club
+class = browse
+timeout = 2s
+
+[entry rsvp]
+service = listings
+owner = club
+class = once
+path = /rsvp
+timeout = 2s
+
+[entry photos]
+service = listings
+owner = club
+class = upload
+path = /photos
+body = 100000000
+`
+
+// fakeViews is a directory that always confirms.
+type fakeViews struct{ view *directory.View }
+
+func (v *fakeViews) View() *directory.View           { return v.view }
+func (v *fakeViews) Confirmed(time.Time) bool        { return true }
+func (v *fakeViews) RetryAt(now time.Time) time.Time { return now.Add(time.Second) }
+func (v *fakeViews) SetSpare(int64)                  {}
+func (v *fakeViews) Tell(*wire.Loss)                 {}
+
+// fakeLedger grants everything and counts.
+type fakeLedger struct {
+	mu       sync.Mutex
+	settled  []*wire.Settle
+	unusable bool
+}
+
+func (l *fakeLedger) Claim(ctx context.Context, _ *wire.Claim) (*wire.ClaimResult, error) {
+	if l.unusable {
+		return nil, context.DeadlineExceeded
+	}
+	return &wire.ClaimResult{State: wire.ClaimState_CLAIM_GRANTED}, ctx.Err()
+}
+
+func (l *fakeLedger) Settle(_ context.Context, s *wire.Settle) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settled = append(l.settled, s)
+	return nil
+}
+
+// front is a forwarder over the given upstreams, served over HTTP.
+type front struct {
+	*httptest.Server
+	forwarder *Forwarder
+	ledger    *fakeLedger
+}
+
+func newFront(t *testing.T, upstreams ...string) *front {
+	t.Helper()
+	is := is.New(t)
+	c, err := cataloguer.Parse("test", []byte(testCatalogue))
+	is.NoErr(err)
+	pool := &balancer.Pool{Tiers: []balancer.Tier{{Region: "almaty"}}}
+	for _, address := range upstreams {
+		pool.Tiers[0].Upstreams = append(pool.Tiers[0].Upstreams, &balancer.Upstream{
+			Name: address, Address: netip.MustParseAddrPort(address), Region: "almaty", Slots: 4,
+		})
+	}
+	views := &fakeViews{&directory.View{
+		Catalogue: c,
+		Pools:     map[string]*balancer.Pool{"listings": pool},
+		Instances: chooser.New(nil, nil, nil),
+	}}
+	out := &front{ledger: &fakeLedger{}}
+	out.forwarder = &Forwarder{
+		Instance: "e1", Region: "almaty", Views: views, Holder: &granter.Holder{}, Ledger: out.ledger,
+		Teller: views, Quarantine: &quarantiner.Quarantiner{}, Logger: log.NewNopLogger(),
+		Metrics: NewMetrics(prometheus.NewRegistry()), Sample: 1,
+	}
+	is.NoErr(out.forwarder.Start(context.Background(), nil))
+	out.Server = httptest.NewServer(out.forwarder)
+	t.Cleanup(func() {
+		out.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		is.NoErr(out.forwarder.Stop(ctx))
+	})
+	return out
+}
+
+func (f *front) send(t *testing.T, method, path, body string, header http.Header) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(method, f.URL+path, strings.NewReader(body))
+	is.New(t).NoErr(err)
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	r.Header.Set(refuser.HeaderService, "listings")
+	response, err := http.DefaultClient.Do(r)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func assertOutcome(t *testing.T, r *http.Response, status int, outcome refuser.Outcome) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(r.StatusCode, status)
+	is.Equal(r.Header.Get(refuser.HeaderOutcome), string(outcome))
+}
+
+func key(t *testing.T) http.Header {
+	t.Helper()
+	id, err := uuid.NewV7()
+	is.New(t).NoErr(err)
+	return http.Header{headerKey: {id.String()}}
+}
+
+// breaker is an upstream that answers the first request of a connection, and reads the second one and
+// closes without a word. It counts the requests that it read.
+type breaker struct {
+	net.Listener
+	reads atomic.Int32
+}
+
+func newBreaker(t *testing.T) *breaker {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	b := &breaker{Listener: l}
+	go b.serve()
+	t.Cleanup(func() { _ = l.Close() })
+	return b
+}
+
+func (b *breaker) serve() {
+	for {
+		c, err := b.Accept()
+		if err != nil {
+			return
+		}
+		go b.connection(c)
+	}
+}
+
+func (b *breaker) connection(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for i := range 2 {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		b.reads.Add(1)
+		if i == 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+// An upstream dies after it read a booking on a kept connection. The HTTP client would send the booking
+// again by itself, because its Idempotency-Key says that it may; the seat would be taken twice.
+func TestClientDoesNotResendBookings(t *testing.T) {
+	t.Run("naive", func(t *testing.T) {
+		is := is.New(t)
+		b := newBreaker(t)
+		for range 2 {
+			r, err := http.NewRequest(http.MethodPost, "http://"+b.Addr().String()+"/rsvp", strings.NewReader("seat"))
+			is.NoErr(err)
+			r.Header = key(t)
+			if response, err := http.DefaultClient.Do(r); err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		}
+		is.Equal(b.reads.Load(), int32(3)) // the second booking was read twice
+	})
+	for _, body := range []string{"seat", ""} {
+		t.Run("ours with body "+body, func(t *testing.T) {
+			is := is.New(t)
+			b := newBreaker(t)
+			f := newFront(t, b.Addr().String())
+			is.Equal(f.send(t, http.MethodPost, "/rsvp", body, key(t)).StatusCode, http.StatusOK)
+			assertOutcome(t, f.send(t, http.MethodPost, "/rsvp", body, key(t)), http.StatusBadGateway, refuser.Unknown)
+			is.Equal(b.reads.Load(), int32(2))
+		})
+	}
+}
+
+// The first attempt breaks off after it was sent, and no other upstream is left for a second. That nothing
+// is left to try does not mean that nothing ran, so the caller must not be told so.
+func TestUnknownStaysUnknown(t *testing.T) {
+	b := newBreaker(t)
+	f := newFront(t, b.Addr().String())
+	is.New(t).Equal(f.send(t, http.MethodPut, "/a", "x", nil).StatusCode, http.StatusOK)
+	r := f.send(t, http.MethodPut, "/a", "x", nil)
+	is.New(t).Equal(r.Header.Get(refuser.HeaderOutcome), string(refuser.Unknown))
+}
+
+func TestNotRunIsSaidWhenCertain(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(closed.Close())
+	f := newFront(t, closed.Addr().String())
+	t.Run("nobody listens", func(t *testing.T) {
+		assertOutcome(t, f.send(t, http.MethodGet, "/", "", nil), http.StatusServiceUnavailable, refuser.Unrun)
+	})
+	t.Run("a booking frees its key", func(t *testing.T) {
+		assertOutcome(t, f.send(t, http.MethodPost, "/rsvp", "x", key(t)), http.StatusServiceUnavailable, refuser.Unrun)
+		for range 100 {
+			f.ledger.mu.Lock()
+			settled := len(f.ledger.settled)
+			f.ledger.mu.Unlock()
+			if settled > 0 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.ledger.mu.Lock()
+		defer f.ledger.mu.Unlock()
+		is.New(t).True(f.ledger.settled[0].GetUnrun())
+	})
+	t.Run("stopping", func(t *testing.T) {
+		f.forwarder.RefuseNew()
+		r := f.send(t, http.MethodGet, "/", "", nil)
+		assertOutcome(t, r, http.StatusServiceUnavailable, refuser.Unrun)
+		is.New(t).True(r.Header.Get("Retry-After") != "")
+	})
+}
+
+func TestBadRequests(t *testing.T) {
+	f := newFront(t, "127.0.0.1:1")
+	cases := []struct {
+		name   string
+		path   string
+		header http.Header
+		status int
+	}{
+		{"malformed deadline", "/", http.Header{refuser.HeaderDeadline: {"soon"}}, http.StatusBadRequest},
+		{"past deadline", "/", http.Header{refuser.HeaderDeadline: {"2020-01-01T00:00:00Z"}}, http.StatusGatewayTimeout},
+		{"unknown owner", "/", http.Header{refuser.HeaderOwner: {"nobody"}}, http.StatusNotFound},
+		{"no key", "/rsvp", nil, http.StatusBadRequest},
+		{"key of another version", "/rsvp", http.Header{headerKey: {uuid.NewString()}}, http.StatusBadRequest},
+		{"garbage key", "/rsvp", http.Header{headerKey: {strings.Repeat("k", 1000)}}, http.StatusBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assertOutcome(t, f.send(t, http.MethodPost, c.path, "x", c.header), c.status, refuser.Unrun)
+		})
+	}
+	t.Run("too large", func(t *testing.T) {
+		large := strings.Repeat("x", 2<<20)
+		assertOutcome(t, f.send(t, http.MethodPost, "/", large, nil), http.StatusRequestEntityTooLarge, refuser.Unrun)
+	})
+}
+
+// A caller breaks off in the middle of sending a booking. Half a body must never reach an upstream.
+func TestBodyThatEndsEarlyIsNotRun(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	t.Cleanup(upstream.Close)
+	f := newFront(t, upstream.Listener.Addr().String())
+	c, err := net.Dial("tcp", f.Listener.Addr().String())
+	is.NoErr(err)
+	_, err = io.WriteString(c, "POST /rsvp HTTP/1.1\r\nHost: listings\r\nIdempotency-Key: "+key(t).Get(headerKey)+
+		"\r\nContent-Length: 100\r\n\r\nhalf")
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(f.forwarder.Stop(ctx))
+	is.Equal(runs.Load(), int32(0))
+}
+
+// Many callers send at once and upstreams answer late and out of order. Everyone must get the whole answer
+// to the request that they sent.
+func TestAnswersReachTheirCallers(t *testing.T) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		time.Sleep(time.Duration(len(body)%7) * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Query().Get("id")+":"+string(body))
+	}))
+	t.Cleanup(upstream.Close)
+	f := newFront(t, upstream.Listener.Addr().String())
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Go(func() {
+			for n := range 20 {
+				id := strings.Repeat("i", i+1) + strings.Repeat("n", n)
+				body := strings.Repeat(id, 50)
+				r := f.send(t, http.MethodPut, "/echo?id="+id, body, nil)
+				got, err := io.ReadAll(r.Body)
+				if err != nil || r.StatusCode == http.StatusOK && string(got) != id+":"+body {
+					t.Errorf("caller %s got %d %.40q, %v", id, r.StatusCode, got, err)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+func TestHopByHopHeadersStay(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan http.Header, 1)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "secret")
+		w.Header().Set("X-Public", "yes")
+	}))
+	t.Cleanup(upstream.Close)
+	f := newFront(t, upstream.Listener.Addr().String())
+	r := f.send(t, http.MethodGet, "/", "", http.Header{
+		"Connection": {"X-Drop"}, "X-Drop": {"1"}, "Te": {"trailers"}, "X-Keep": {"1"},
+	})
+	h := <-seen
+	is.Equal(h.Get("X-Drop")+h.Get("Te"), "")
+	is.Equal(h.Get("X-Keep"), "1")
+	is.Equal(h.Get("X-Forwarded-For"), "127.0.0.1")
+	is.True(h.Get(refuser.HeaderDeadline) != "") // the deadline is passed on
+	is.Equal(r.Header.Get("X-Private"), "")
+	is.Equal(r.Header.Get("X-Public"), "yes")
+}
--- /dev/null
+++ b/standin/internal/trials/system_test.go
@@ -0,0 +1,237 @@
+package trials
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/wire"
+	"chervilrail.example/core/wire/wireconnect"
+	"chervilrail.example/standin/internal/backend"
+	"chervilrail.example/standin/internal/loader"
+	"chervilrail.example/standin/internal/starter"
+)
+
+const (
+	programs = "../../../bin"
+	patience = 20 * time.Second
+	firstNet = 80
+)
+
+// nets gives every system of a run its own addresses.
+var nets atomic.Int32
+
+func catalogue(t *testing.T) string {
+	t.Helper()
+	data, err := os.ReadFile("../../../examples/steppe.ini")
+	is.New(t).NoErr(err)
+	return string(data)
+}
+
+// start runs a system and ends it with the test.
+func start(t *testing.T, controllers, entries int) *starter.System {
+	t.Helper()
+	is := is.New(t)
+	absolute, err := filepath.Abs(programs)
+	is.NoErr(err)
+	s := &starter.System{
+		Programs: absolute,
+		Folder:   t.TempDir(),
+		Net:      byte(firstNet + nets.Add(1)),
+		Answer:   time.Second,
+		Places: []starter.Place{
+			{Region: "almaty", Zone: "almaty-a"},
+			{Region: "astana", Zone: "astana-a"},
+			{Region: "shymkent", Zone: "shymkent-a"},
+		},
+	}
+	t.Cleanup(func() {
+		s.Close()
+		if t.Failed() {
+			showLogs(t, s.Folder)
+		}
+	})
+	is.NoErr(s.StartControllers(controllers))
+	is.NoErr(s.StartEntries(entries))
+	is.NoErr(s.Apply(catalogue(t)))
+	awaitVoters(t, s, controllers)
+	return s
+}
+
+// showLogs prints the end of every process's log, for a test that failed.
+func showLogs(t *testing.T, folder string) {
+	const most = 3000
+	files, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, f := range files {
+		data, _ := os.ReadFile(f)
+		t.Logf("%s:\n%s", filepath.Base(f), data[max(0, len(data)-most):])
+	}
+}
+
+// until waits for a condition that must come true.
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never came true: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func operator(s *starter.System, i int) wireconnect.OperateClient {
+	address := netip.AddrPortFrom(s.Controllers[i].Address, starter.OperatorPort)
+	return wireconnect.NewOperateClient(http.DefaultClient, "http://"+address.String())
+}
+
+// status asks every controller and returns the leader's answer, or nil.
+func status(s *starter.System) *wire.StatusResponse {
+	for i := range s.Controllers {
+		if s.Controllers[i].Ended() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		r, err := operator(s, i).Status(ctx, connect.NewRequest(&wire.StatusRequest{}))
+		cancel()
+		if err == nil && r.Msg.GetLeads() {
+			return r.Msg
+		}
+	}
+	return nil
+}
+
+func awaitVoters(t *testing.T, s *starter.System, want int) {
+	t.Helper()
+	until(t, "all controllers vote", func() bool {
+		voters := 0
+		for _, r := range status(s).GetReplicas() {
+			if r.GetVoter() && !r.GetSilent() {
+				voters++
+			}
+		}
+		return voters == want
+	})
+}
+
+// leader returns the index of the leading controller.
+func leader(t *testing.T, s *starter.System) int {
+	t.Helper()
+	found := -1
+	until(t, "a leader", func() bool {
+		name := status(s).GetLeader()
+		for i, c := range s.Controllers {
+			if c.Name == name {
+				found = i
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
+
+// apply sends a change until it is decided, under one id.
+func apply(s *starter.System, change *wire.Change) *wire.Verdict {
+	deadline := time.Now().Add(patience)
+	for i := 0; time.Now().Before(deadline); i++ {
+		at := i % len(s.Controllers)
+		if s.Controllers[at].Ended() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		r, err := operator(s, at).Apply(ctx, connect.NewRequest(&wire.ApplyRequest{Change: change}))
+		cancel()
+		if err == nil {
+			return r.Msg.GetVerdict()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+func newID(t *testing.T) string {
+	t.Helper()
+	id, err := uuid.NewV7()
+	is.New(t).NoErr(err)
+	return id.String()
+}
+
+// numbered is the catalogue with a comment that tells its number.
+func numbered(t *testing.T, n uint64) []byte {
+	t.Helper()
+	return append([]byte(catalogue(t)), []byte("; change "+time.Unix(int64(n), 0).String()+"\n")...)
+}
+
+func backends(t *testing.T, s *starter.System, service string, count int, work time.Duration) {
+	t.Helper()
+	is := is.New(t)
+	for range count {
+		_, err := s.StartBackend(starter.BackendSettings{Service: service, Slots: 3, Work: work})
+		is.NoErr(err)
+	}
+	for i := range s.Entries {
+		awaitService(t, s, service, i)
+	}
+}
+
+func awaitService(t *testing.T, s *starter.System, service string, entry int) {
+	t.Helper()
+	until(t, "entry instances forward", func() bool {
+		return get(s, service, entry, "/").Status == http.StatusOK
+	})
+}
+
+func get(s *starter.System, service string, entry int, path string) loader.Answer {
+	c := &loader.Caller{Service: service}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return c.SendTo(ctx, s.CallerURL(entry), loader.Request{Method: http.MethodGet, Path: path})
+}
+
+func book(s *starter.System, entry int, key, path, body string) loader.Answer {
+	c := &loader.Caller{Service: "bookings"}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return c.SendTo(ctx, s.CallerURL(entry), loader.Request{
+		Method: http.MethodPost, Path: path, Owner: "dumpling-club", Key: key, Body: strings.NewReader(body),
+	})
+}
+
+// stats asks the upstreams that still run.
+func stats(s *starter.System) []backend.Report {
+	var out []backend.Report
+	for i := range s.Backends {
+		if s.Backends[i].Ended() {
+			continue
+		}
+		response, err := http.Get(s.BackendURL(i) + "/stats")
+		if err != nil {
+			continue
+		}
+		var r backend.Report
+		if json.NewDecoder(response.Body).Decode(&r) == nil {
+			out = append(out, r)
+		}
+		_ = response.Body.Close()
+	}
+	return out
+}
+
+func runs(s *starter.System, key string) int {
+	total := 0
+	for _, r := range stats(s) {
+		total += r.Runs[key]
+	}
+	return total
+}
--- /dev/null
+++ b/standin/internal/trials/traffic_test.go
@@ -0,0 +1,253 @@
+package trials
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/standin/internal/loader"
+)
+
+// A caller repeats its booking through another entry instance while the first attempt still runs, and
+// again when it is done. The seat must be taken once, and the repeat must get the first answer.
+func TestRepeatedBookingRunsOnce(t *testing.T) {
+	s := start(t, 3, 2)
+	backends(t, s, "bookings", 2, time.Millisecond)
+	t.Run("while it runs", func(t *testing.T) {
+		is := is.New(t)
+		key := newID(t)
+		var first loader.Answer
+		var group sync.WaitGroup
+		group.Go(func() { first = book(s, 0, key, "/rsvp?work=1s", "seat") })
+		time.Sleep(300 * time.Millisecond)
+		second := book(s, 1, key, "/rsvp?work=1s", "seat")
+		group.Wait()
+		is.Equal(first.Status, http.StatusOK)
+		is.Equal(second.Status, http.StatusConflict)
+		is.Equal(second.Outcome, "unknown")
+		third := book(s, 1, key, "/rsvp?work=1s", "seat")
+		is.Equal(third.Body, first.Body)
+		is.Equal(runs(s, key), 1)
+	})
+	t.Run("with another body", func(t *testing.T) {
+		is := is.New(t)
+		key := newID(t)
+		is.Equal(book(s, 0, key, "/rsvp", "one seat").Status, http.StatusOK)
+		is.Equal(book(s, 1, key, "/rsvp", "two seats").Status, http.StatusUnprocessableEntity)
+		is.Equal(runs(s, key), 1)
+	})
+	t.Run("without a key", func(t *testing.T) {
+		is := is.New(t)
+		a := book(s, 0, "", "/rsvp", "seat")
+		is.Equal(a.Status, http.StatusBadRequest)
+		is.Equal(a.Outcome, "not-run")
+	})
+	t.Run("while its entry instance freezes", func(t *testing.T) {
+		is := is.New(t)
+		key := newID(t)
+		var group sync.WaitGroup
+		group.Go(func() { book(s, 0, key, "/rsvp?work=500ms", "seat") })
+		time.Sleep(200 * time.Millisecond)
+		s.Entries[0].Freeze()
+		for range 5 {
+			a := book(s, 1, key, "/rsvp?work=500ms", "seat")
+			is.Equal(a.Outcome, "unknown") // never "not run", and never run again
+		}
+		s.Entries[0].Thaw()
+		group.Wait()
+		is.Equal(runs(s, key), 1)
+	})
+	t.Run("when its entry instance is killed", func(t *testing.T) {
+		is := is.New(t)
+		key := newID(t)
+		var group sync.WaitGroup
+		group.Go(func() { book(s, 0, key, "/rsvp?work=1s", "seat") })
+		time.Sleep(200 * time.Millisecond)
+		s.Entries[0].Kill()
+		group.Wait()
+		a := book(s, 1, key, "/rsvp?work=1s", "seat")
+		is.Equal(a.Outcome, "unknown")
+		is.True(runs(s, key) <= 1)
+	})
+}
+
+// One request crashes every upstream that runs it, and its caller sends it again through every entry
+// instance. It may cost two upstreams; a third would mean that the whole pool can be taken out.
+func TestPoisonRequestCostsTwoUpstreamsAtMost(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 3, 2)
+	backends(t, s, "listings", 5, time.Millisecond)
+	refused := 0
+	for i := range 10 {
+		a := get(s, "listings", i%2, "/crash")
+		is.True(a.Status >= http.StatusInternalServerError)
+		if a.Outcome == "not-run" {
+			refused++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	dead := 0
+	for _, b := range s.Backends {
+		if b.Ended() {
+			dead++
+		}
+	}
+	is.True(dead <= 2)
+	is.True(refused >= 8)
+	is.Equal(get(s, "listings", 0, "/events").Status, http.StatusOK) // bystanders go on
+}
+
+// An upstream breaks off in the middle of its answer. The caller must see a broken transfer; a short
+// answer that looks whole would show half a programme as all of it.
+func TestHalfAnAnswerIsSeenAsBroken(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 1, 1)
+	backends(t, s, "listings", 1, time.Millisecond)
+	a := get(s, "listings", 0, "/half")
+	is.True(a.Err != nil)
+}
+
+// slowBody sends a little at a time, and tells how much it sent.
+type slowBody struct {
+	left  int
+	pause time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	b.left--
+	return copy(p, strings.Repeat("x", 1024)), nil
+}
+
+// An entry instance is told to stop while an organiser's slow upload is on its way. The upload must
+// finish, new work must be refused as not run, and look-ups must stop naming the instance.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 3, 2)
+	backends(t, s, "listings", 2, time.Millisecond)
+	const parts = 80
+	var upload loader.Answer
+	var group sync.WaitGroup
+	group.Go(func() {
+		c := &loader.Caller{Service: "listings"}
+		upload = c.SendTo(context.Background(), s.CallerURL(0), loader.Request{
+			Method: http.MethodPost, Path: "/photos", Body: &slowBody{parts, 100 * time.Millisecond},
+		})
+	})
+	time.Sleep(500 * time.Millisecond)
+	s.Entries[0].Ask()
+	until(t, "look-ups name only the other", func() bool {
+		c := &loader.Caller{Service: "listings", Lookups: []string{s.CallerURL(1)}}
+		entries, err := c.Entries(context.Background())
+		return err == nil && len(entries) == 1 && entries[0] == s.CallerURL(1)
+	})
+	is.Equal(get(s, "listings", 0, "/events").Status, http.StatusOK) // callers with an older answer go on
+	group.Wait()
+	is.NoErr(upload.Err)
+	is.Equal(upload.Status, http.StatusOK)
+	is.True(strings.Contains(upload.Body, `"received":81920`))
+	is.NoErr(s.Entries[0].Wait(patience))
+}
+
+// An upstream announces that it leaves. Work sent to it later than a few seconds would be cut off when it
+// exits; what it still runs must finish.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 3, 2)
+	backends(t, s, "listings", 3, time.Millisecond)
+	var group sync.WaitGroup
+	failed := make(chan loader.Answer, 1000)
+	stop := make(chan struct{})
+	for entry := range 2 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if a := get(s, "listings", entry, "/events?work=20ms"); a.Status != http.StatusOK {
+					failed <- a
+				}
+			}
+		})
+	}
+	is.NoErr(s.Backends[0].Stop(patience))
+	time.Sleep(200 * time.Millisecond)
+	close(stop)
+	group.Wait()
+	close(failed)
+	for a := range failed {
+		t.Errorf("a request was cut: %+v", a)
+	}
+}
+
+// All controllers freeze. An entry instance can't know whether its catalogue was changed meanwhile, so it
+// stops acting on it within its lease, says that nothing was run, and goes on when they are back.
+func TestCutOffEntryRefuses(t *testing.T) {
+	s := start(t, 3, 1)
+	backends(t, s, "listings", 1, time.Millisecond)
+	for _, c := range s.Controllers {
+		c.Freeze()
+	}
+	until(t, "the entry instance refuses", func() bool {
+		a := get(s, "listings", 0, "/events")
+		return a.Status == http.StatusServiceUnavailable && a.Outcome == "not-run" && a.Retry != ""
+	})
+	for _, c := range s.Controllers {
+		c.Thaw()
+	}
+	awaitService(t, s, "listings", 0)
+}
+
+// A whole region is lost: its controller, its entry instance and its upstreams. Callers must be answered
+// from the other regions.
+func TestRegionLost(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 3, 3)
+	backends(t, s, "listings", 6, time.Millisecond)
+	s.Controllers[0].Kill()
+	s.Entries[0].Kill()
+	s.Backends[0].Kill()
+	s.Backends[3].Kill()
+	c := &loader.Caller{Service: "listings", Lookups: []string{s.CallerURL(0), s.CallerURL(1), s.CallerURL(2)}}
+	until(t, "callers are answered", func() bool {
+		return c.Send(context.Background(), loader.Request{Method: http.MethodGet, Path: "/events"}).Status == http.StatusOK
+	})
+	good := 0
+	for range 50 {
+		a := c.Send(context.Background(), loader.Request{Method: http.MethodGet, Path: "/events"})
+		if a.Status == http.StatusOK {
+			good++
+		}
+	}
+	is.Equal(good, 50)
+}
+
+// Connections between an entry instance and an upstream go silent for good while new ones work. Callers
+// must be answered over new connections, well before their own deadline.
+func TestSilentConnectionsAreLeft(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 1, 1)
+	backends(t, s, "listings", 1, time.Millisecond)
+	r := newRelay(t, s)
+	is.NoErr(s.Backends[0].Stop(patience))
+	until(t, "the entry instance uses the relay", func() bool {
+		return get(s, "listings", 0, "/events").Status == http.StatusOK && r.count() > 0
+	})
+	r.silence()
+	began := time.Now()
+	a := get(s, "listings", 0, "/events")
+	is.Equal(a.Status, http.StatusOK)
+	is.True(time.Since(began) < 5*time.Second) // the entry's timeout is 10 s
+	is.Equal(get(s, "listings", 0, "/events").Status, http.StatusOK)
+}
