Grants: a renewal that comes after its lease lapsed is not taken

Cause: found by models/grants.pml and reproduced by TestLateRenewalAfterALapseIsNotTaken. Change: an instance takes a renewal only while the lease it renews goes on; use that merely still counts in the window is reported apart and is no ground for a renewal by a new leader.

--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,21 @@
 
 clean:
 	rm -rf bin .run
+
+# Needs spin (Debian package spin) and gcc.
+.PHONY: model soak slopes measure
+model:
+	@models/check
+
+# A longer run of the random schedules and of the kills than make test does.
+soak: build
+	@cd core && go test -count=1 -timeout 60m ./replicator ./granter ./claimer -run 'TestSchedules|TestSharesStay|TestAtMostOnce' -rapid.checks=100000 -v
+	@cd standin && CHERVILRAIL_ROUNDS=50 go test -count=1 -timeout 30m ./internal/trials -run TestKilled -v
+
+# Measures the slopes of docs/CAPACITY.md.
+slopes: build
+	@./bin/standin slopes
+
+# Measures the figures of docs/MEASUREMENTS.md on a local system.
+measure: build
+	@./bin/standin measure --programs bin --catalogue examples/steppe.ini --folder .run/measure
--- a/core/granter/granter.go
+++ b/core/granter/granter.go
@@ -41,6 +41,8 @@
 type share struct {
 	// possible is the most that the holder could be using.
 	possible int64
+	// held is what the holder reported to be in force.
+	held   int64
 	wanted   int64
 }
 
@@ -93,7 +95,11 @@
 func (g *Granter) note(h *holder, holdings []*wire.Holding) {
 	shares := map[string]*share{}
 	for _, o := range holdings {
-		shares[o.GetResource()] = &share{possible: max(0, o.GetHeld()), wanted: max(0, o.GetWanted())}
+		shares[o.GetResource()] = &share{
+			possible: max(0, o.GetHeld(), o.GetUsed()),
+			held:     max(0, o.GetHeld()),
+			wanted:   max(0, o.GetWanted()),
+		}
 	}
 	h.shares = shares
 }
@@ -106,9 +112,10 @@
 	}
 	amount := min(g.target(limit, id), limit.Cap-g.others(o.GetResource(), id))
 	// The former leader may have granted to holders that have not yet reported here. Until all that has
-	// ended, a holder keeps at most what it already has.
+	// ended, a holder keeps at most what it already has in force. Use that only still counts in its window
+	// is no such share: its lease may be long over.
 	if now.Before(g.Since.Add(g.grace())) {
-		amount = min(amount, s.possible)
+		amount = min(amount, s.held)
 	}
 	amount = max(0, amount)
 	s.possible = max(s.possible, amount)
--- a/core/granter/granter_test.go
+++ b/core/granter/granter_test.go
@@ -90,3 +90,28 @@
 	is.True(sum <= 30)
 	is.True(sum >= 28) // and is used again once the frozen instance's lease has ended
 }
+
+// An instance's request to renew its share is late. Its lease ends meanwhile, the leader gives the share to
+// another instance and is then replaced. The new leader, which knows nobody yet, renews what the late
+// request claims to hold: both instances use the same share, and the region gets twice its cap.
+func TestLateRenewalAfterALapseIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	limits := []cataloguer.Limit{{Resource: resource, Cap: 100}}
+	old := &Granter{Lease: testLease}
+	old.SetLimits(limits)
+	users := newUsers(now, "late", "other")
+	settle(t, now, old, users[:1], 0)
+	ask := now.Add(1200 * time.Millisecond)
+	sequence, holdings := users[0].Request(ask.Add(testLease - time.Millisecond))
+	is.Equal(holdings[0].GetHeld(), int64(100))
+	later := ask.Add(old.grace() + time.Millisecond)
+	settle(t, later, old, users[1:], 0)
+	is.Equal(users[1].Limit(later, resource), int64(100))
+	successor := &Granter{Lease: testLease, Since: later}
+	successor.SetLimits(limits)
+	grants, err := successor.Renew(later, users[0].id, sequence, holdings)
+	is.NoErr(err)
+	users[0].Accept(later, sequence, testLease, grants)
+	is.True(users[0].Limit(later, resource)+users[1].Limit(later, resource) <= 100)
+}
--- a/core/granter/holder.go
+++ b/core/granter/holder.go
@@ -16,6 +16,8 @@
 	mu       sync.Mutex
 	sequence uint64
 	sent     time.Time
+	// renewing is set when the latest request reported shares in force.
+	renewing bool
 	// deadline ends every share at once; it counts from when the accepted request was sent.
 	deadline time.Time
 	shares   map[string]*portion
@@ -64,6 +66,7 @@
 	defer h.mu.Unlock()
 	h.sequence++
 	h.sent = now
+	h.renewing = now.Before(h.deadline)
 	expired := !now.Before(h.deadline)
 	out := make([]*wire.Holding, 0, len(h.shares))
 	for name, p := range h.shares {
@@ -73,7 +76,8 @@
 		wanted := p.demand.Used(now)
 		out = append(out, &wire.Holding{
 			Resource: name,
-			Held:     max(p.limit, p.window.Used(now)),
+			Held:     p.limit,
+			Used:     p.window.Used(now),
 			Wanted:   wanted + wanted/wantParts,
 		})
 	}
@@ -88,6 +92,12 @@
 	if sequence != h.sequence || !now.Before(deadline) {
 		return false
 	}
+	// A new leader renews what a request says is held, because the former one still counted it. That is
+	// true only while the lease goes on: after a lapse the former leader may have given the share away,
+	// and taking it up again would let two instances use it.
+	if h.renewing && !now.Before(h.deadline) {
+		return false
+	}
 	h.deadline = deadline
 	for _, g := range grants {
 		if p, ok := h.shares[g.GetResource()]; ok {
