--- a/core/granter/granter.go
+++ b/core/granter/granter.go
@@ -43,7 +43,7 @@
 	possible int64
 	// held is what the holder reported to be in force.
 	held   int64
-	wanted   int64
+	wanted int64
 }
 
 // SetLimits replaces the limits; a lowered one takes effect as the holders renew or their leases end.
