--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -24,90 +25,120 @@
 
 // List is an immutable set of instances. Build it with New.
 type List struct {
-	instances []Instance
-	// ranks holds for each region how far every other region is, by index of instances.
-	regions map[string][]int
+	count int
+	// regions holds for each region the instances grouped by distance, near ones first.
+	regions map[string][][]Instance
 }
 
 // New prepares a list. The distance function orders the regions as seen from a region.
 func New(instances []Instance, regions []string, distance func(from, to string) int) *List {
-	l := &List{instances: slices.Clone(instances), regions: map[string][]int{}}
-	for i := range l.instances {
-		l.instances[i].hash = xxhash.Sum64String(l.instances[i].Name)
+	l := &List{count: len(instances), regions: map[string][][]Instance{}}
+	hashed := slices.Clone(instances)
+	for i := range hashed {
+		hashed[i].hash = xxhash.Sum64String(hashed[i].Name)
 	}
-	for _, region := range append(slices.Clone(regions), "") {
-		ranks := make([]int, len(l.instances))
-		for i, in := range l.instances {
-			if region != "" {
-				ranks[i] = distance(region, in.Region)
-			}
-		}
-		l.regions[region] = ranks
+	for _, region := range regions {
+		l.regions[region] = group(hashed, func(in Instance) int { return distance(region, in.Region) })
 	}
+	l.regions[""] = group(hashed, func(Instance) int { return 0 })
 	return l
 }
 
+// group splits instances by rank, in order of rank.
+func group(instances []Instance, rank func(in Instance) int) [][]Instance {
+	byRank := map[int][]Instance{}
+	for _, in := range instances {
+		byRank[rank(in)] = append(byRank[rank(in)], in)
+	}
+	var out [][]Instance
+	for _, r := range slices.Sorted(maps.Keys(byRank)) {
+		out = append(out, byRank[r])
+	}
+	return out
+}
+
 // Len returns how many instances there are.
-func (l *List) Len() int { return len(l.instances) }
+func (l *List) Len() int { return l.count }
 
 // Answers is how many instances an answer names at most.
 const Answers = 3
 
 // Choose fills out with up to Answers instances for a client: the nearest region by weighted rendezvous,
 // so that a client keeps its instance while the set changes elsewhere; then two alternatives, the first in
-// another availability zone. It returns how many it filled, and does not allocate.
+// another availability zone if the region has one. It returns how many it filled, and does not allocate.
+// Only the nearest group is looked at, unless it has too few.
 func (l *List) Choose(client netip.Addr, region string, out *[Answers]*Instance) int {
-	ranks, ok := l.regions[region]
+	groups, ok := l.regions[region]
 	if !ok {
-		ranks = l.regions[""]
+		groups = l.regions[""]
 	}
 	seed := seedOf(client)
 	count := 0
-	for count < Answers {
-		best := l.best(seed, ranks, out, count)
-		if best == nil {
+	for _, instances := range groups {
+		if count == Answers {
 			break
 		}
-		out[count] = best
-		count++
+		var r race
+		for i := range instances {
+			r.enter(&instances[i], weigh(seed, &instances[i]))
+		}
+		count = r.award(out, count)
 	}
 	return count
 }
 
-func seedOf(client netip.Addr) uint64 {
-	bytes := client.As16()
-	return xxhash.Sum64(bytes[:])
+// race keeps the best instances of a group in one pass.
+type race struct {
+	top [Answers]contender
+	// other is the best in another availability zone than the winner's.
+	other contender
 }
 
-// best finds the next instance: near before far, for the second place another zone before the same one,
-// then the highest weighted rendezvous score.
-func (l *List) best(seed uint64, ranks []int, chosen *[Answers]*Instance, count int) *Instance {
-	var best *Instance
-	bestRank, bestScore := math.MaxInt, 0.0
-	for i := range l.instances {
-		in := &l.instances[i]
-		if taken(in, chosen, count) {
-			continue
+type contender struct {
+	instance *Instance
+	score    float64
+}
+
+func (r *race) enter(in *Instance, score float64) {
+	winner := r.top[0].instance
+	switch {
+	case winner == nil || score > r.top[0].score:
+		if winner != nil && winner.Zone != in.Zone {
+			r.other = r.top[0]
 		}
-		rank := 2 * ranks[i]
-		if count == 1 && in.Zone == chosen[0].Zone {
-			rank++
+	case in.Zone != winner.Zone && score > r.other.score:
+		r.other = contender{in, score}
+	}
+	r.rank(contender{in, score})
+}
+
+func (r *race) rank(c contender) {
+	for i := range r.top {
+		if r.top[i].instance == nil || c.score > r.top[i].score {
+			c, r.top[i] = r.top[i], c
 		}
-		score := weigh(seed, in)
-		if rank < bestRank || rank == bestRank && score > bestScore {
-			best, bestRank, bestScore = in, rank, score
+		if c.instance == nil {
+			return
 		}
 	}
-	return best
 }
 
-func taken(in *Instance, chosen *[Answers]*Instance, count int) bool {
-	for i := range count {
-		if chosen[i] == in {
-			return true
+// award names the winner, then the best of another zone, then the rest by score.
+func (r *race) award(out *[Answers]*Instance, count int) int {
+	order := [Answers + 1]*Instance{r.top[0].instance, r.other.instance, r.top[1].instance, r.top[2].instance}
+	for _, in := range order {
+		if in == nil || count == Answers || slices.Contains(out[:count], in) {
+			continue
 		}
+		out[count] = in
+		count++
 	}
-	return false
+	return count
+}
+
+func seedOf(client netip.Addr) uint64 {
+	bytes := client.As16()
+	return xxhash.Sum64(bytes[:])
 }
 
 // weigh is the logarithmic form of weighted rendezvous hashing.
--- a/core/granter/granter.go
+++ b/core/granter/granter.go
@@ -135,8 +135,14 @@
 	return sum
 }
 
+// restParts is the part of what nobody wants that is granted all the same: a half. The other half stays
+// free, so that a sudden peak at one instance gets it with its next renewal. Were all of it granted, the
+// peak would have to wait until every other instance has renewed twice: to hear that its share shrinks,
+// and to confirm that it did.
+const restParts = 2
+
 // target is the holder's fair part: the floor for everyone, then what each wants as far as equal parts
-// allow, then the rest in equal parts so that a sudden peak finds room at once.
+// allow, then equal parts of half the rest.
 func (g *Granter) target(limit cataloguer.Limit, id HolderID) int64 {
 	wants := g.wants(limit)
 	count := int64(len(wants))
@@ -149,7 +155,7 @@
 		rest -= min(w, level)
 	}
 	mine := g.want(limit, g.holders[id])
-	return min(mine, level) + max(0, rest)/count
+	return min(mine, level) + max(0, rest)/restParts/count
 }
 
 func (g *Granter) wants(limit cataloguer.Limit) []int64 {
--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -75,6 +75,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	beats  chan struct{}
+	// hurry asks for a heartbeat before its time.
+	hurry chan struct{}
 }
 
 type event interface {
@@ -92,6 +94,7 @@
 	d.events = make(chan event, queueLength)
 	d.done = make(chan struct{})
 	d.beats = make(chan struct{})
+	d.hurry = make(chan struct{}, 1)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	go d.run()
 	go d.beat()
@@ -211,24 +214,47 @@
 	return chooser.New(out, regions, distance)
 }
 
-// beat sends heartbeats, and asks at once again after a failure: a lease must not lapse because one
+// Hurry asks for an early heartbeat, because a share was used up or something changed.
+func (d *Directory) Hurry() {
+	select {
+	case d.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// hurryParts is how much sooner than its time a heartbeat may come: a quarter of the usual wait stays.
+const hurryParts = 4
+
+// beat sends heartbeats, and asks soon again after a failure: a lease must not lapse because one
 // controller froze.
 func (d *Directory) beat() {
 	defer close(d.beats)
 	for {
 		ok := d.renew()
-		wait := d.Every
+		if !d.pause(d.Every / hurryParts) {
+			return
+		}
 		if !ok {
-			wait = d.Every / 4
+			continue
 		}
 		select {
 		case <-d.ctx.Done():
 			return
-		case <-time.After(wait):
+		case <-d.hurry:
+		case <-time.After(d.Every - d.Every/hurryParts):
 		}
 	}
 }
 
+func (d *Directory) pause(wait time.Duration) bool {
+	select {
+	case <-d.ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 func (d *Directory) renew() bool {
 	now := time.Now()
 	sequence, holdings := d.Holder.Request(now)
@@ -345,6 +371,8 @@
 	d.catalogue = parsed
 	d.number = r.GetNumber()
 	d.stale = true
+	// The next heartbeat confirms the change; operators wait for it.
+	d.Hurry()
 	_ = level.Info(d.Logger).Log("msg", "catalogue in force", "number", d.number)
 	return true
 }
--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -202,6 +202,9 @@
 		u.Release()
 		capped = true
 	}
+	if capped {
+		f.Views.Hurry()
+	}
 	return nil, capped
 }
 
--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -16,6 +16,8 @@
 
 	"chervilrail.example/standin/internal/backend"
 	"chervilrail.example/standin/internal/demo"
+	"chervilrail.example/standin/internal/measurer"
+	"chervilrail.example/standin/internal/sloper"
 )
 
 const (
@@ -31,7 +33,7 @@
 	root := &cli.Command{
 		Name:     "standin",
 		Usage:    "play upstreams and callers for tests",
-		Commands: []*cli.Command{upstreamCommand(), demoCommand()},
+		Commands: []*cli.Command{upstreamCommand(), demoCommand(), measureCommand(), slopesCommand()},
 	}
 	if err := root.Run(context.Background(), args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -104,16 +106,43 @@
 	return server.Shutdown(ctx)
 }
 
+func placeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "programs", Usage: "`FOLDER` with the built programs", Required: true},
+		&cli.StringFlag{Name: "catalogue", Usage: "catalogue `FILE`", Required: true},
+		&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for settings, logs and data", Required: true},
+	}
+}
+
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "start a local system and take its figures",
+		Flags: placeFlags(),
+		Action: func(_ context.Context, c *cli.Command) error {
+			return measurer.Run(os.Stdout, measurer.Options{
+				Programs:  c.String("programs"),
+				Catalogue: c.String("catalogue"),
+				Folder:    c.String("folder"),
+			})
+		},
+	}
+}
+
+func slopesCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "slopes",
+		Usage:  "measure how the cost of each part grows",
+		Action: func(context.Context, *cli.Command) error { return sloper.Run(os.Stdout) },
+	}
+}
+
 func demoCommand() *cli.Command {
+	failures := &cli.BoolFlag{Name: "failures", Usage: "freeze a controller and kill an entry instance meanwhile"}
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "start a local system, send each class of request, and show what happened",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "programs", Usage: "`FOLDER` with the built programs", Required: true},
-			&cli.StringFlag{Name: "catalogue", Usage: "catalogue `FILE`", Required: true},
-			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for settings, logs and data", Required: true},
-			&cli.BoolFlag{Name: "failures", Usage: "freeze a controller and kill an entry instance meanwhile"},
-		},
+		Flags: append(placeFlags(), failures),
 		Action: func(_ context.Context, c *cli.Command) error {
 			return demo.Run(os.Stdout, demo.Options{
 				Programs:  c.String("programs"),
--- /dev/null
+++ b/standin/internal/measurer/measurer.go
@@ -0,0 +1,392 @@
+// Package measurer takes the figures of docs/MEASUREMENTS.md on a local system of real processes.
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+
+	"chervilrail.example/core/wire"
+	"chervilrail.example/core/wire/wireconnect"
+	"chervilrail.example/standin/internal/loader"
+	"chervilrail.example/standin/internal/starter"
+)
+
+const (
+	measureNet  = 78
+	controllers = 3
+	entries     = 12
+	folderMode  = 0o750
+	patience    = 20 * time.Second
+
+	rate       = 2000
+	runTime    = 10 * time.Second
+	changes    = 200
+	killRounds = 30
+	bookings   = 2000
+	bookers    = 16
+)
+
+// Options say where things are.
+type Options struct {
+	Programs  string
+	Catalogue string
+	Folder    string
+}
+
+type measurer struct {
+	out       io.Writer
+	system    *starter.System
+	catalogue string
+	number    uint64
+}
+
+// Run takes all figures and writes them.
+func Run(out io.Writer, o Options) error {
+	if err := os.RemoveAll(o.Folder); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(o.Folder, folderMode); err != nil {
+		return err
+	}
+	text, err := os.ReadFile(filepath.Clean(o.Catalogue))
+	if err != nil {
+		return err
+	}
+	// The figures are about cost, not about the example's limit on bookings.
+	unlimited := strings.ReplaceAll(string(text), "rate = 500", "rate = 0")
+	m := &measurer{out: out, catalogue: unlimited, system: &starter.System{
+		Programs: o.Programs, Folder: o.Folder, Net: measureNet, Answer: time.Second, Sample: 1000,
+		Places: []starter.Place{
+			{Region: "almaty", Zone: "almaty-a"},
+			{Region: "astana", Zone: "astana-a"},
+			{Region: "shymkent", Zone: "shymkent-a"},
+		},
+	}}
+	defer m.system.Close()
+	if err := m.start(); err != nil {
+		return err
+	}
+	for _, step := range []func() error{m.latency, m.lookups, m.bookings, m.inForce, m.elections} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *measurer) start() error {
+	if err := m.system.StartControllers(controllers); err != nil {
+		return err
+	}
+	if err := m.system.StartEntries(entries); err != nil {
+		return err
+	}
+	if err := m.system.Apply(m.catalogue); err != nil {
+		return err
+	}
+	m.number = 1
+	for i := range 6 {
+		service := "listings"
+		if i >= 3 {
+			service = "bookings"
+		}
+		b := starter.BackendSettings{Service: service, Slots: 64, Work: 0}
+		if _, err := m.system.StartBackend(b); err != nil {
+			return err
+		}
+	}
+	for _, service := range []string{"listings", "bookings"} {
+		if err := m.await(service); err != nil {
+			return err
+		}
+	}
+	time.Sleep(12 * time.Second) // until the upstreams have warmed up
+	return nil
+}
+
+func (m *measurer) await(service string) error {
+	c := &loader.Caller{Service: service}
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		a := c.SendTo(context.Background(), m.system.CallerURL(0), loader.Request{Method: http.MethodGet, Path: "/"})
+		if a.Status == http.StatusOK {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return &starter.StuckError{Process: "service " + service}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+}
+
+func (m *measurer) row(what string, h *hdrhistogram.Histogram, failed int) {
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	fmt.Fprintf(m.out, "| %s | %d | %s | %s | %s | %s | %d |\n", what, h.TotalCount(), at(50), at(99), at(99.9),
+		time.Duration(h.Max())*time.Microsecond, failed)
+}
+
+func (m *measurer) head(title string) {
+	fmt.Fprintf(m.out, "\n%s\n\n| what | count | p50 | p99 | p99.9 | worst | failed |\n|---|---|---|---|---|---|---|\n", title)
+}
+
+// latency compares calls through an entry instance with calls to the upstream itself, at an open rate:
+// each request's time counts from when it was due.
+func (m *measurer) latency() error {
+	m.head(fmt.Sprintf("Latency at %d requests/s over %s, GET, upstream work 0", rate, runTime))
+	direct, failed := openLoop(m.system.BackendURL(0), rate, runTime)
+	m.row("upstream directly", direct, failed)
+	through, failed := openLoop(m.system.CallerURL(0), rate, runTime)
+	m.row("through an entry instance", through, failed)
+	fmt.Fprintf(m.out, "\nadded: p50 %d µs, p99 %d µs\n", through.ValueAtQuantile(50)-direct.ValueAtQuantile(50),
+		through.ValueAtQuantile(99)-direct.ValueAtQuantile(99))
+	return nil
+}
+
+func openLoop(base string, perSecond int, long time.Duration) (*hdrhistogram.Histogram, int) {
+	c := &loader.Caller{Service: "listings"}
+	h := newHistogram()
+	failed := 0
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	gap := time.Second / time.Duration(perSecond)
+	start := time.Now()
+	for i := range int(long / gap) {
+		due := start.Add(time.Duration(i) * gap)
+		time.Sleep(time.Until(due))
+		group.Go(func() {
+			a := c.SendTo(context.Background(), base, loader.Request{Method: http.MethodGet, Path: "/venue/1"})
+			took := time.Since(due)
+			mu.Lock()
+			defer mu.Unlock()
+			_ = h.RecordValue(int64(took / time.Microsecond))
+			if a.Status != http.StatusOK {
+				failed++
+			}
+		})
+	}
+	group.Wait()
+	return h, failed
+}
+
+// lookups sends look-ups over kept connections as fast as they are answered.
+func (m *measurer) lookups() error {
+	const callers = 16
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	h := newHistogram()
+	failed, total := 0, 0
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	stop := time.Now().Add(runTime / 2)
+	for range callers {
+		group.Go(func() {
+			for time.Now().Before(stop) {
+				start := time.Now()
+				ok := lookup(client, m.system.CallerURL(0))
+				mu.Lock()
+				_ = h.RecordValue(int64(time.Since(start) / time.Microsecond))
+				total++
+				if !ok {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	m.head("Look-ups over HTTP, 16 callers on the same machine")
+	m.row("look-up", h, failed)
+	fmt.Fprintf(m.out, "\n%.0f look-ups/s by one entry instance, callers included on the machine\n",
+		float64(total)/(runTime/2).Seconds())
+	return nil
+}
+
+func lookup(client *http.Client, base string) bool {
+	response, err := client.Get(base + "/lookup?service=listings&client=10.1.2.3")
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// bookings compares requests that must not repeat with ordinary ones of the same service.
+func (m *measurer) bookings() error {
+	m.head(fmt.Sprintf("Bookings, %d callers, claim and outcome synced on two of three disks", bookers))
+	plain, failed, _ := m.closedLoop(loader.Request{Method: http.MethodGet, Path: "/", Owner: "dumpling-club"})
+	m.row("GET of the same service", plain, failed)
+	claimed, failed, took := m.closedLoop(loader.Request{Method: http.MethodPost, Path: "/rsvp", Owner: "dumpling-club"})
+	m.row("booking", claimed, failed)
+	fmt.Fprintf(m.out, "\nadded: p50 %d µs; %.0f bookings/s (two commits each)\n",
+		claimed.ValueAtQuantile(50)-plain.ValueAtQuantile(50), float64(bookings-failed)/took.Seconds())
+	return nil
+}
+
+func (m *measurer) closedLoop(r loader.Request) (*hdrhistogram.Histogram, int, time.Duration) {
+	c := &loader.Caller{Service: "bookings"}
+	h := newHistogram()
+	failed := 0
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	began := time.Now()
+	for i := range bookers {
+		group.Go(func() {
+			for range bookings / bookers {
+				request := r
+				if r.Method == http.MethodPost {
+					request.Key = uuid.Must(uuid.NewV7()).String()
+					request.Body = strings.NewReader("seat")
+				}
+				start := time.Now()
+				a := c.SendTo(context.Background(), m.system.CallerURL(i%entries), request)
+				mu.Lock()
+				_ = h.RecordValue(int64(time.Since(start) / time.Microsecond))
+				if a.Status != http.StatusOK {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return h, failed, time.Since(began)
+}
+
+func (m *measurer) client(i int) wireconnect.OperateClient {
+	address := netip.AddrPortFrom(m.system.Controllers[i].Address, starter.OperatorPort)
+	return wireconnect.NewOperateClient(http.DefaultClient, "http://"+address.String())
+}
+
+func (m *measurer) status(skip int) *wire.StatusResponse {
+	for i := range m.system.Controllers {
+		if i == skip {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		r, err := m.client(i).Status(ctx, connect.NewRequest(&wire.StatusRequest{}))
+		cancel()
+		if err == nil && r.Msg.GetLeads() {
+			return r.Msg
+		}
+	}
+	return nil
+}
+
+func (m *measurer) apply(skip int) error {
+	m.number++
+	text := fmt.Sprintf("%s\n; change %d\n", m.catalogue, m.number)
+	change := &wire.Change{Id: uuid.NewString(), Number: m.number, Catalogue: []byte(text)}
+	deadline := time.Now().Add(patience)
+	for i := 0; time.Now().Before(deadline); i++ {
+		if i%controllers == skip {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		r, err := m.client(i%controllers).Apply(ctx, connect.NewRequest(&wire.ApplyRequest{Change: change}))
+		cancel()
+		if err == nil && r.Msg.GetVerdict().GetAccepted() {
+			return nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return &starter.StuckError{Process: "change"}
+}
+
+func (m *measurer) leader() int {
+	name := m.status(-1).GetLeader()
+	for i, c := range m.system.Controllers {
+		if c.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// inForce measures from a change's acceptance until every entry instance confirmed it.
+func (m *measurer) inForce() error {
+	m.head(fmt.Sprintf("From accepted to in force on %d entry instances", entries))
+	h, err := m.inForceRun(-1)
+	if err != nil {
+		return err
+	}
+	m.row("all controllers up", h, 0)
+	frozen := (m.leader() + 1) % controllers
+	m.system.Controllers[frozen].Freeze()
+	defer m.system.Controllers[frozen].Thaw()
+	h, err = m.inForceRun(frozen)
+	if err != nil {
+		return err
+	}
+	m.row("one controller frozen", h, 0)
+	return nil
+}
+
+func (m *measurer) inForceRun(skip int) (*hdrhistogram.Histogram, error) {
+	h := newHistogram()
+	for range changes {
+		if err := m.apply(skip); err != nil {
+			return nil, err
+		}
+		start := time.Now()
+		for !m.confirmed(skip) {
+			if time.Since(start) > patience {
+				return nil, &starter.StuckError{Process: "confirmation"}
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		_ = h.RecordValue(int64(time.Since(start) / time.Microsecond))
+	}
+	return h, nil
+}
+
+func (m *measurer) confirmed(skip int) bool {
+	s := m.status(skip)
+	confirmed := 0
+	for _, n := range s.GetNodes() {
+		if n.GetNumber() >= m.number && !n.GetLost() {
+			confirmed++
+		}
+	}
+	return confirmed == entries
+}
+
+// elections kills the leader again and again, and measures until another one answers.
+func (m *measurer) elections() error {
+	m.head("Without a leader after its kill")
+	h := newHistogram()
+	for range killRounds {
+		old := m.leader()
+		if old < 0 {
+			return &starter.StuckError{Process: "leader"}
+		}
+		m.system.Controllers[old].Kill()
+		start := time.Now()
+		for m.status(old) == nil {
+			if time.Since(start) > patience {
+				return &starter.StuckError{Process: "election"}
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		_ = h.RecordValue(int64(time.Since(start) / time.Microsecond))
+		if _, err := m.system.StartController(old); err != nil {
+			return err
+		}
+		time.Sleep(1500 * time.Millisecond)
+	}
+	m.row("election", h, 0)
+	return nil
+}
--- /dev/null
+++ b/standin/internal/sloper/sloper.go
@@ -0,0 +1,92 @@
+// Package sloper measures how the cost of each part grows with its size, and fits a line through it.
+package sloper
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Series is one quantity measured at several sizes.
+type Series struct {
+	Name string
+	// Unit of the measured value, and what the size counts.
+	Unit string
+	Per  string
+	// Sizes and Values belong together.
+	Sizes  []float64
+	Values []float64
+}
+
+// Fit returns the line's start and slope, and the share of the variation that it explains.
+func (s *Series) Fit() (start, slope, explained float64) {
+	start, slope = stat.LinearRegression(s.Sizes, s.Values, nil, false)
+	return start, slope, stat.RSquared(s.Sizes, s.Values, nil, start, slope)
+}
+
+func (s *Series) add(size int, value float64) {
+	s.Sizes = append(s.Sizes, float64(size))
+	s.Values = append(s.Values, value)
+}
+
+// Run measures every series and writes them as a table in Markdown.
+func Run(out io.Writer) error {
+	fmt.Fprintf(out, "machine: %d cores, %s/%s, %s\n\n", runtime.NumCPU(), runtime.GOOS, runtime.GOARCH, runtime.Version())
+	const padding = 1
+	t := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
+	fmt.Fprintln(t, "| what\t| unit\t| per\t| sizes\t| values\t| start\t| slope\t| R²\t|")
+	fmt.Fprintln(t, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	for _, measure := range measures() {
+		for _, s := range measure() {
+			start, slope, explained := s.Fit()
+			fmt.Fprintf(t, "| %s\t| %s\t| %s\t| %s\t| %s\t| %.3g\t| %.4g\t| %.3f\t|\n",
+				s.Name, s.Unit, s.Per, list(s.Sizes), list(s.Values), start, slope, explained)
+		}
+	}
+	return t.Flush()
+}
+
+func list(values []float64) string {
+	text := ""
+	for i, v := range values {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%.4g", v)
+	}
+	return text
+}
+
+// timeOf returns the time of one call, as the least of several rounds.
+func timeOf(rounds, calls int, run func()) time.Duration {
+	least := time.Duration(1 << 62)
+	for range rounds {
+		start := time.Now()
+		for range calls {
+			run()
+		}
+		least = min(least, time.Since(start)/time.Duration(calls))
+	}
+	return least
+}
+
+// heapOf returns the bytes that stay in use after build, while what it returns is kept.
+func heapOf(build func() any) float64 {
+	before := heap()
+	kept := build()
+	after := heap()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
