Each upstream slot belongs to one entry instance

Cause: entry instances chose upstreams by their own outstanding requests only. At half load 9% of all requests were refused: an upstream of 3 slots is full now and then although the rest idle, each instance learns it from a refusal, and the retry budget is soon spent. Past capacity the upstreams refused all classes alike, so nothing waited in the instances' queues and urgency had no effect. Ruled out: the queues and the retry budget (tested alone, both right); a larger budget (it pays for load that the upstreams have no room for). Change: core/dealer deals the slots of a region to the instances there, the same on every instance; a slot of another instance is used only where a fresh report shows the upstream half idle.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -42,6 +42,8 @@
 	// Since is when this run of the upstream was first seen; its cache is cold then.
 	Since time.Time
 
+	// own is how many of the slots belong to this instance.
+	own         atomic.Int32
 	outstanding atomic.Int32
 	failures    atomic.Int32
 	// ejectedUntil is in nanoseconds since the epoch; 0 means in use.
@@ -49,6 +51,12 @@
 	report       atomic.Pointer[Report]
 }
 
+// SetOwn says how many of the slots belong to this instance.
+func (u *Upstream) SetOwn(n int32) { u.own.Store(n) }
+
+// Own returns how many of the slots belong to this instance.
+func (u *Upstream) Own() int32 { return u.own.Load() }
+
 // Outstanding returns how many requests of this instance the upstream works on.
 func (u *Upstream) Outstanding() int32 { return u.outstanding.Load() }
 
@@ -97,16 +105,27 @@
 // a part of its slots, so that a wave of misses does not bury it.
 func (u *Upstream) room(now time.Time) int32 {
 	age := now.Sub(u.Since)
-	if age >= WarmUp {
-		return u.Slots
+	own := u.Own()
+	if age >= WarmUp || own == 0 {
+		return own
+	}
+	return max(1, int32(int64(own)*int64(age)/int64(WarmUp)))
+}
+
+// borrowed is how many slots of other instances may be used now. A fresh report must show the upstream
+// half idle: its owners find their slots taken otherwise, and what they send is shed.
+func (u *Upstream) borrowed(now time.Time) int32 {
+	r := u.report.Load()
+	if r == nil || now.Sub(r.At) >= ReportAge || now.Sub(u.Since) < WarmUp || 2*r.Load >= u.Slots {
+		return 0
 	}
-	return max(1, int32(int64(u.Slots)*int64(age)/int64(WarmUp)))
+	return min(u.Own()+1, u.Slots)
 }
 
 // cost compares upstreams: outstanding work by slot. A fresh report only breaks ties, because every
 // instance sees the same one and would otherwise follow it at once to the same upstream.
 func (u *Upstream) cost(now time.Time) int64 {
-	slots := int64(u.Slots)
+	slots := int64(max(1, u.Own()))
 	cost := int64(u.outstanding.Load()) * scale * scale / slots
 	if r := u.report.Load(); r != nil && now.Sub(r.At) < ReportAge {
 		cost += min(int64(r.Load)*scale/slots, scale*scale/slots-1)
@@ -127,15 +146,23 @@
 	Upstreams []*Upstream
 }
 
-// Slots returns how many slots a pool has in a region, or in all for an empty name.
-func (p *Pool) Slots(region string) int32 {
-	var sum int32
+// Own returns how many slots of the pool belong to this instance.
+func (p *Pool) Own() int {
+	sum := 0
 	for _, t := range p.Tiers {
-		if region != "" && t.Region != region {
-			continue
+		for _, u := range t.Upstreams {
+			sum += int(u.Own())
 		}
+	}
+	return sum
+}
+
+// Borrowable returns how many slots of other instances could be used now, by the fresh reports.
+func (p *Pool) Borrowable(now time.Time) int {
+	sum := 0
+	for _, t := range p.Tiers {
 		for _, u := range t.Upstreams {
-			sum += u.Slots
+			sum += int(max(0, u.borrowed(now)-u.Own()))
 		}
 	}
 	return sum
@@ -160,21 +187,27 @@
 	Random func() uint64
 }
 
-// Choose reserves a slot at an upstream of the region and returns it, or nil when none has room.
-// The caller must call Release on what it gets. Excluded upstreams were tried for this request before.
+// Choose reserves a slot at an upstream of the region and returns it, or nil when none has room: a slot of
+// this instance's own if one is free, else one of another instance at an upstream that reports itself half
+// idle. The caller must call Release on what it gets. Excluded upstreams were tried for this request before.
 func (b *Balancer) Choose(now time.Time, p *Pool, region string, excluded []*Upstream) *Upstream {
-	for _, t := range p.Tiers {
-		if t.Region != region {
-			continue
-		}
-		if u := b.fromTier(now, t.Upstreams, excluded); u != nil {
-			return u
+	for _, room := range []roomFunc{(*Upstream).room, (*Upstream).borrowed} {
+		for _, t := range p.Tiers {
+			if t.Region != region {
+				continue
+			}
+			if u := b.fromTier(now, t.Upstreams, excluded, room); u != nil {
+				return u
+			}
 		}
 	}
 	return nil
 }
 
-func (b *Balancer) fromTier(now time.Time, upstreams, excluded []*Upstream) *Upstream {
+// roomFunc tells how many requests an upstream may have from this instance.
+type roomFunc func(u *Upstream, now time.Time) int32
+
+func (b *Balancer) fromTier(now time.Time, upstreams, excluded []*Upstream, room roomFunc) *Upstream {
 	n := uint64(len(upstreams))
 	if n == 0 {
 		return nil
@@ -185,21 +218,21 @@
 	if second.cost(now) < first.cost(now) {
 		first, second = second, first
 	}
-	for _, u := range []*Upstream{first, second} {
-		if usable(now, u, excluded, respect) && u.Reserve(u.room(now)) {
+	for _, u := range [2]*Upstream{first, second} {
+		if usable(now, u, excluded, respect) && u.Reserve(room(u, now)) {
 			return u
 		}
 	}
-	return b.scan(now, upstreams, excluded, respect)
+	return b.scan(now, upstreams, excluded, respect, room)
 }
 
-// scan is the rare case that neither candidate has room: it looks at all, from a random place on.
-func (b *Balancer) scan(now time.Time, upstreams, excluded []*Upstream, respect bool) *Upstream {
+// scan looks at all upstreams, from a random place on, when neither candidate has room.
+func (b *Balancer) scan(now time.Time, upstreams, excluded []*Upstream, respect bool, room roomFunc) *Upstream {
 	n := len(upstreams)
 	start := int(b.Random() % uint64(n))
 	for i := range n {
 		u := upstreams[(start+i)%n]
-		if usable(now, u, excluded, respect) && u.Reserve(u.room(now)) {
+		if usable(now, u, excluded, respect) && u.Reserve(room(u, now)) {
 			return u
 		}
 	}
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -15,6 +15,7 @@
 	var all []*Upstream
 	for i := range n {
 		all = append(all, &Upstream{Name: fmt.Sprint("u", i), Region: "almaty", Slots: slots})
+		all[i].SetOwn(slots)
 	}
 	return &Pool{Tiers: []Tier{{Region: "almaty", Upstreams: all}}}
 }
@@ -75,6 +76,36 @@
 	is.True(ours <= 6)
 }
 
+// An instance's own slots are taken while others idle. It may use a slot of another instance, but only
+// where a fresh report shows room: otherwise the owner's work would be shed.
+func TestBorrowing(t *testing.T) {
+	u := &Upstream{Slots: 4, Region: "almaty"}
+	p := &Pool{Tiers: []Tier{{Region: "almaty", Upstreams: []*Upstream{u}}}}
+	b := balancer(8)
+	cases := []struct {
+		name string
+		load int32
+		age  time.Duration
+		want bool
+	}{
+		{"half idle", 1, 0, true},
+		{"half busy", 2, 0, false},
+		{"stale report", 0, ReportAge, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u.SetReport(Report{Load: c.load, At: start.Add(-c.age)})
+			got := b.Choose(start, p, "almaty", nil)
+			is.Equal(got != nil, c.want)
+			if got != nil {
+				is.Equal(b.Choose(start, p, "almaty", nil), nil) // one at a time
+				got.Release()
+			}
+		})
+	}
+}
+
 func TestNearTiersComeFirst(t *testing.T) {
 	is := is.New(t)
 	near, far := pool(1, 2), pool(1, 2)
@@ -89,6 +120,7 @@
 func TestColdUpstreamRamps(t *testing.T) {
 	is := is.New(t)
 	u := &Upstream{Slots: 10, Since: start}
+	u.SetOwn(10)
 	is.Equal(u.room(start), int32(1))
 	is.Equal(u.room(start.Add(WarmUp/2)), int32(5))
 	is.Equal(u.room(start.Add(WarmUp)), int32(10))
--- /dev/null
+++ b/core/dealer/dealer.go
@@ -0,0 +1,89 @@
+// Package dealer divides the slots of upstreams among entry instances, so that each sends only into slots
+// of its own. Every instance computes the same division from the same lists; while the lists differ for a
+// moment an upstream may get more than its slots, and sheds it as not run.
+package dealer
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Upstream is a back end with its slots.
+type Upstream struct {
+	Name   string
+	Region string
+	Slots  int32
+}
+
+// Instance is an entry instance that takes part.
+type Instance struct {
+	Name   string
+	Region string
+}
+
+// slot is one place at one upstream.
+type slot struct {
+	upstream int
+	hash     uint64
+}
+
+// Deal returns how many slots of each upstream belong to the instance, in the order of upstreams. The
+// slots of a region go to the instances there, or to all where the region has none. Where there are
+// fewer slots than instances, several share one.
+func Deal(self string, instances []Instance, upstreams []Upstream) []int32 {
+	out := make([]int32, len(upstreams))
+	byRegion := map[string][]slot{}
+	for i, u := range upstreams {
+		for n := range u.Slots {
+			byRegion[u.Region] = append(byRegion[u.Region], slot{i, hashOf(u.Name, n)})
+		}
+	}
+	for region, slots := range byRegion {
+		deal(self, partners(instances, region), slots, out)
+	}
+	return out
+}
+
+func hashOf(name string, n int32) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(n))
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// partners returns the sorted names of those who share a region's slots.
+func partners(instances []Instance, region string) []string {
+	var near, all []string
+	for _, in := range instances {
+		all = append(all, in.Name)
+		if in.Region == region {
+			near = append(near, in.Name)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	sort.Strings(near)
+	return near
+}
+
+// deal goes round the partners with the slots in an order that mixes the upstreams, so that each partner
+// has slots at many of them and the loss of one takes little from everybody.
+func deal(self string, names []string, slots []slot, out []int32) {
+	at := sort.SearchStrings(names, self)
+	if at == len(names) || names[at] != self {
+		return
+	}
+	sort.Slice(slots, func(i, j int) bool {
+		if slots[i].hash != slots[j].hash {
+			return slots[i].hash < slots[j].hash
+		}
+		return slots[i].upstream < slots[j].upstream
+	})
+	for i := range max(len(slots), len(names)) {
+		if i%len(names) == at {
+			out[slots[i%len(slots)].upstream]++
+		}
+	}
+}
--- /dev/null
+++ b/core/dealer/dealer_test.go
@@ -0,0 +1,79 @@
+package dealer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func setup(instances, upstreams int, slots int32) ([]Instance, []Upstream) {
+	var in []Instance
+	for i := range instances {
+		in = append(in, Instance{fmt.Sprint("e", i), fmt.Sprint("r", i%3)})
+	}
+	var up []Upstream
+	for i := range upstreams {
+		up = append(up, Upstream{fmt.Sprint("u", i), fmt.Sprint("r", i%3), slots})
+	}
+	return in, up
+}
+
+// totals adds up what all instances own at each upstream.
+func totals(in []Instance, up []Upstream) []int32 {
+	out := make([]int32, len(up))
+	for _, i := range in {
+		for u, n := range Deal(i.Name, in, up) {
+			out[u] += n
+		}
+	}
+	return out
+}
+
+// Instances that choose upstreams without knowing of each other send more to some of them than they have
+// slots for, while others idle. Dealt out, every slot belongs to exactly one instance.
+func TestEverySlotHasOneOwner(t *testing.T) {
+	for _, c := range []struct{ instances, upstreams int }{{12, 20}, {8, 12}, {3, 30}, {12, 12}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			is := is.New(t)
+			in, up := setup(c.instances, c.upstreams, 3)
+			for _, n := range totals(in, up) {
+				is.Equal(n, int32(3))
+			}
+		})
+	}
+}
+
+func TestSharesAreEven(t *testing.T) {
+	is := is.New(t)
+	in, up := setup(12, 21, 3)
+	for _, i := range in {
+		own := int32(0)
+		for u, n := range Deal(i.Name, in, up) {
+			own += n
+			is.True(n == 0 || up[u].Region == i.Region) // near ones only
+		}
+		is.True(own == 5 || own == 6)
+	}
+}
+
+func TestEveryoneHasASlot(t *testing.T) {
+	is := is.New(t)
+	in, up := setup(12, 3, 1)
+	for _, i := range in {
+		own := int32(0)
+		for _, n := range Deal(i.Name, in, up) {
+			own += n
+		}
+		is.Equal(own, int32(1))
+	}
+}
+
+func TestRegionWithoutInstancesIsShared(t *testing.T) {
+	is := is.New(t)
+	in, up := setup(2, 6, 3)
+	for _, n := range totals(in, up) {
+		is.Equal(n, int32(3))
+	}
+	is.Equal(Deal("stranger", in, up), make([]int32, 6))
+}
--- a/entry/internal/directory/view.go
+++ b/entry/internal/directory/view.go
@@ -7,6 +7,7 @@
 	"chervilrail.example/core/balancer"
 	"chervilrail.example/core/cataloguer"
 	"chervilrail.example/core/chooser"
+	"chervilrail.example/core/dealer"
 	"chervilrail.example/core/mapper"
 	"chervilrail.example/core/wire"
 )
@@ -45,6 +46,7 @@
 // buildPool groups a service's live upstreams by distance from this instance, drained ones left out.
 func (d *Directory) buildPool(now time.Time, c *cataloguer.Catalogue, service string) *balancer.Pool {
 	groups := map[string][]*balancer.Upstream{}
+	var members []*balancer.Upstream
 	for _, r := range d.records.Live(now, service) {
 		if _, drained := c.Drained(r.GetName(), "", r.GetZone(), r.GetRegion()); drained {
 			continue
@@ -58,7 +60,9 @@
 			key = ownZone
 		}
 		groups[key] = append(groups[key], u)
+		members = append(members, u)
 	}
+	d.dealSlots(members)
 	p := &balancer.Pool{}
 	p.Tiers = append(p.Tiers, balancer.Tier{Region: d.Region, Upstreams: groups[ownZone]})
 	p.Tiers = append(p.Tiers, balancer.Tier{Region: d.Region, Upstreams: groups[d.Region]})
@@ -68,6 +72,24 @@
 	return p
 }
 
+// dealSlots marks how many slots of each upstream belong to this instance. An instance that is leaving, or
+// not yet on the roster, still counts itself: it may get requests.
+func (d *Directory) dealSlots(members []*balancer.Upstream) {
+	partners := []dealer.Instance{{Name: d.Instance, Region: d.Region}}
+	for _, n := range d.nodes {
+		if n.GetName() != d.Instance && !n.GetLost() && !n.GetLeaving() {
+			partners = append(partners, dealer.Instance{Name: n.GetName(), Region: n.GetRegion()})
+		}
+	}
+	var slots []dealer.Upstream
+	for _, u := range members {
+		slots = append(slots, dealer.Upstream{Name: u.Name, Region: u.Region, Slots: u.Slots})
+	}
+	for i, n := range dealer.Deal(d.Instance, partners, slots) {
+		members[i].SetOwn(n)
+	}
+}
+
 // ownZone can't be a region's name, which has no blank.
 const ownZone = "own zone"
 
--- a/entry/internal/forwarder/door.go
+++ b/entry/internal/forwarder/door.go
@@ -39,9 +39,9 @@
 		return
 	}
 	d.view = v
-	slots := int(v.Pools[service].Slots(""))
+	own := v.Pools[service].Own()
 	instances := max(1, v.Instances.Len())
-	d.limit.Bound((slots+instances-1)/instances, slots)
+	d.limit.Bound(own, own+v.Pools[service].Borrowable(now)/instances)
 	d.resize(now)
 }
 
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -104,9 +104,9 @@
 	is.NoErr(err)
 	pool := &balancer.Pool{Tiers: []balancer.Tier{{Region: "almaty"}}}
 	for _, address := range upstreams {
-		pool.Tiers[0].Upstreams = append(pool.Tiers[0].Upstreams, &balancer.Upstream{
-			Name: address, Address: netip.MustParseAddrPort(address), Region: "almaty", Slots: 4,
-		})
+		u := &balancer.Upstream{Name: address, Address: netip.MustParseAddrPort(address), Region: "almaty", Slots: 4}
+		u.SetOwn(u.Slots)
+		pool.Tiers[0].Upstreams = append(pool.Tiers[0].Upstreams, u)
 	}
 	views := &fakeViews{&directory.View{
 		Catalogue: c,
--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -16,6 +16,7 @@
 
 	"chervilrail.example/standin/internal/backend"
 	"chervilrail.example/standin/internal/demo"
+	"chervilrail.example/standin/internal/experimenter"
 	"chervilrail.example/standin/internal/measurer"
 	"chervilrail.example/standin/internal/sloper"
 )
@@ -33,7 +34,7 @@
 	root := &cli.Command{
 		Name:     "standin",
 		Usage:    "play upstreams and callers for tests",
-		Commands: []*cli.Command{upstreamCommand(), demoCommand(), measureCommand(), slopesCommand()},
+		Commands: []*cli.Command{upstreamCommand(), demoCommand(), measureCommand(), slopesCommand(), experimentCommand()},
 	}
 	if err := root.Run(context.Background(), args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -129,6 +130,24 @@
 	}
 }
 
+func experimentCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "experiment",
+		Usage:     "play scenarios against the decisions in logical time, and against a naive policy",
+		ArgsUsage: "FILE...",
+		Action: func(_ context.Context, c *cli.Command) error {
+			for _, path := range c.Args().Slice() {
+				s, err := experimenter.Load(path)
+				if err != nil {
+					return err
+				}
+				experimenter.Report(os.Stdout, s)
+			}
+			return nil
+		},
+	}
+}
+
 func slopesCommand() *cli.Command {
 	return &cli.Command{
 		Name:   "slopes",
--- /dev/null
+++ b/standin/internal/experimenter/scenario.go
@@ -0,0 +1,99 @@
+// Package experimenter plays a load against the decision packages in logical time, and against a naive
+// policy, and reports what callers would have seen.
+package experimenter
+
+import (
+	"os"
+	"time"
+
+	"chervilrail.example/core/cataloguer"
+	"chervilrail.example/core/parser"
+)
+
+const (
+	defaultService = 20 * time.Millisecond
+	percent        = 100
+	maxCount       = 10_000
+)
+
+// Phase is a stretch of time with one load.
+type Phase struct {
+	Name string
+	// Length and load; the load is in percent of what all slots together can do.
+	Length time.Duration
+	Load   int64
+	// Lost upstreams stop answering in this phase; Leaving ones announced that they leave.
+	Lost    int64
+	Leaving int64
+}
+
+// Scenario is one experiment.
+type Scenario struct {
+	Name      string
+	Seed      int64
+	Entries   int64
+	Upstreams int64
+	Slots     int64
+	// Service is the mean work of a request; an upload takes twenty times that.
+	Service time.Duration
+	// Shares of the classes in percent; the rest is browsing.
+	Shares map[cataloguer.Class]int64
+	// Reports is how old reported loads are; 0 stops them.
+	Reports time.Duration
+	Phases  []Phase
+}
+
+// Load reads a scenario file.
+func Load(path string) (*Scenario, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	d := parser.Parse(path, data)
+	s := &Scenario{}
+	for _, section := range d.Sections {
+		switch section.Kind {
+		case "scenario":
+			s.read(d, section)
+		case "phase":
+			s.Phases = append(s.Phases, Phase{
+				Name:    section.Name,
+				Length:  d.Duration(section, "length", time.Second, time.Millisecond, time.Hour),
+				Load:    d.Number(section, "load", percent, 0, maxCount),
+				Lost:    d.Number(section, "lost", 0, 0, maxCount),
+				Leaving: d.Number(section, "leaving", 0, 0, maxCount),
+			})
+		default:
+			d.Fault(section, "", "scenario or phase", section.Kind)
+		}
+	}
+	if len(s.Phases) == 0 {
+		d.Fault(nil, "", "at least one section [phase NAME]", "none")
+	}
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Scenario) read(d *parser.Document, section *parser.Section) {
+	s.Name = section.Name
+	s.Seed = d.Number(section, "seed", 1, 0, 1<<62)
+	s.Entries = d.Number(section, "entries", 12, 1, maxCount)
+	s.Upstreams = d.Number(section, "upstreams", 20, 1, maxCount)
+	s.Slots = d.Number(section, "slots", 3, 1, maxCount)
+	s.Service = d.Duration(section, "service", defaultService, time.Microsecond, time.Minute)
+	s.Reports = d.Duration(section, "reports", time.Second, 0, time.Hour)
+	s.Shares = map[cataloguer.Class]int64{
+		cataloguer.Urgent: d.Number(section, "urgent", 10, 0, percent),
+		cataloguer.Once:   d.Number(section, "once", 10, 0, percent),
+		cataloguer.Upload: d.Number(section, "upload", 1, 0, percent),
+	}
+}
+
+// capacity is how many requests a second all slots can do, uploads weighed by their length.
+func (s *Scenario) capacity() float64 {
+	uploads := float64(s.Shares[cataloguer.Upload]) / percent
+	mean := s.Service.Seconds() * (1 - uploads + uploads*uploadFactor)
+	return float64(s.Upstreams*s.Slots) / mean
+}
--- a/standin/internal/sloper/measures.go
+++ b/standin/internal/sloper/measures.go
@@ -94,7 +94,7 @@
 				Name: fmt.Sprint("e", i), Region: fmt.Sprint("r", i%17), Zone: fmt.Sprint("z", i%47), Spare: 10,
 			})
 		}
-		l := chooser.New(instances, []string{"r0", "r1"}, func(from, to string) int { return strings.Compare(from, to) })
+		l := chooser.New(instances, []string{"r0", "r1"}, strings.Compare)
 		client := netip.MustParseAddr("10.1.2.3")
 		var chosen [chooser.Answers]*chooser.Instance
 		out.add(n, float64(timeOf(rounds, 20_000, func() { l.Choose(client, "r0", &chosen) })))
@@ -329,7 +329,9 @@
 	for _, n := range []int{12, 32, 200, 1000} {
 		p := &balancer.Pool{Tiers: []balancer.Tier{{Region: "r"}}}
 		for i := range n {
-			p.Tiers[0].Upstreams = append(p.Tiers[0].Upstreams, &balancer.Upstream{Name: fmt.Sprint(i), Region: "r", Slots: 3})
+			u := &balancer.Upstream{Name: fmt.Sprint(i), Region: "r", Slots: 3}
+			u.SetOwn(u.Slots)
+			p.Tiers[0].Upstreams = append(p.Tiers[0].Upstreams, u)
 		}
 		b := &balancer.Balancer{Random: rand.New(rand.NewPCG(1, 23)).Uint64}
 		now := time.Now()
