Slots at ejected upstreams do not count as capacity

Cause: with a third of the upstreams lost, requests were let in for own slots there and waited past the queue, where urgency has no effect: urgent p99 191 ms, 39 refused of 8043; 1320/s answered of 1600. Ruled out: retries (0.001 a call); borrowing (no reports arrive in this scenario). Change: an instance's capacity leaves ejected upstreams out; the experiment drops a lost upstream when its announcement's lease ends, as the register does.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -146,12 +146,15 @@
 	Upstreams []*Upstream
 }
 
-// Own returns how many slots of the pool belong to this instance.
-func (p *Pool) Own() int {
+// Own returns how many slots of the pool belong to this instance, at upstreams that are not ejected. Were
+// those counted, requests would be let in for slots that can't be used, and wait there without an order.
+func (p *Pool) Own(now time.Time) int {
 	sum := 0
 	for _, t := range p.Tiers {
 		for _, u := range t.Upstreams {
-			sum += int(u.Own())
+			if !u.Ejected(now) {
+				sum += int(u.Own())
+			}
 		}
 	}
 	return sum
--- a/entry/internal/forwarder/door.go
+++ b/entry/internal/forwarder/door.go
@@ -39,7 +39,7 @@
 		return
 	}
 	d.view = v
-	own := v.Pools[service].Own()
+	own := v.Pools[service].Own(now)
 	instances := max(1, v.Instances.Len())
 	d.limit.Bound(own, own+v.Pools[service].Borrowable(now)/instances)
 	d.resize(now)
--- a/standin/internal/experimenter/policies.go
+++ b/standin/internal/experimenter/policies.go
@@ -78,7 +78,6 @@
 	// outstanding are this instance's own slots at each upstream.
 	own   map[*balancer.Upstream]*host
 	calls map[*admitter.Ticket]*call
-	free  []*call
 }
 
 func newOurs(w *world) policy {
@@ -103,7 +102,7 @@
 	var known []dealer.Upstream
 	for i, h := range w.hosts {
 		u := in.view(h)
-		if h.leaving {
+		if h.leaving || h.silent(w.now) {
 			continue
 		}
 		known = append(known, dealer.Upstream{Name: strconv.Itoa(i), Region: "r", Slots: int32(w.Slots)})
@@ -113,7 +112,7 @@
 		tier.Upstreams[i].SetOwn(n)
 	}
 	in.pool = &balancer.Pool{Tiers: []balancer.Tier{tier}}
-	own := in.pool.Own()
+	own := in.pool.Own(w.now)
 	in.limit.Bound(own, own+in.pool.Borrowable(w.now)/int(w.Entries))
 }
 
--- a/standin/internal/experimenter/world.go
+++ b/standin/internal/experimenter/world.go
@@ -9,6 +9,7 @@
 
 	"chervilrail.example/core/balancer"
 	"chervilrail.example/core/cataloguer"
+	"chervilrail.example/core/registrar"
 )
 
 const (
@@ -43,6 +44,13 @@
 	most    int
 	lost    bool
 	leaving bool
+	// lostAt is when a lost host announced itself last.
+	lostAt time.Time
+}
+
+// silent reports whether the host's last announcement no longer holds.
+func (h *host) silent(now time.Time) bool {
+	return h.lost && now.Sub(h.lostAt) >= registrar.Lease
 }
 
 // world is the logical time, the upstreams and the counts.
@@ -180,7 +188,11 @@
 	w.result.phase = phase
 	p := w.Phases[phase]
 	for i, h := range w.hosts {
-		h.lost = int64(i) < p.Lost
+		lost := int64(i) < p.Lost
+		if lost && !h.lost {
+			h.lostAt = w.now
+		}
+		h.lost = lost
 		h.leaving = int64(i) >= p.Lost && int64(i) < p.Lost+p.Leaving
 	}
 }
