--- /dev/null
+++ b/controller/internal/config/config_test.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func example(t *testing.T) string {
+	t.Helper()
+	data, err := os.ReadFile("../../../examples/settings/controller.ini")
+	is.New(t).NoErr(err)
+	return string(data)
+}
+
+func TestExampleIsValid(t *testing.T) {
+	_, err := Parse("example", []byte(example(t)))
+	is.New(t).NoErr(err)
+}
+
+// A setting is mistyped. Were it ignored, the program would run with a default that nobody asked for; so
+// every fault is named at once, before anything starts.
+func TestFaultsAreNamed(t *testing.T) {
+	cases := []struct{ name, old, replacement, want string }{
+		{"unknown key", "zone =", "zoen =", "[controller] zoen: expected a key known here"},
+		{"unknown section", "[log]", "[logs]", "got \"logs\""},
+		{"bad address", "127.0.1.1:7000\n", "localhost:7000\n", "control: expected an IP number and port"},
+		{"same address", "operator = 127.0.1.1:7001", "operator = 127.0.1.1:7000", "an address apart from control"},
+		{"not a replica", "name = c1", "name = c9", "this controller among the replicas"},
+		{"slow heartbeat", "heartbeat = 100ms", "heartbeat = 500ms", "at most a third of election"},
+		{"bad time", "lease = 4s", "lease = 4", "lease: expected a time from"},
+		{"bad level", "level = info", "level = loud", "one of debug, info, warn, error"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := example(t)
+			changed := strings.Replace(text, c.old, c.replacement, 1)
+			is.New(t).True(changed != text)
+			_, err := Parse("example", []byte(changed))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("expected a fault with %q, got %v", c.want, err)
+			}
+		})
+	}
+	t.Run("all at once", func(t *testing.T) {
+		_, err := Parse("empty", nil)
+		is.New(t).True(strings.Count(err.Error(), "expected a section") == 3)
+	})
+}
