Whatever reaches a shift's new region counts against its cap

Cause: TestShiftStaysUnderItsCap: with the old region's slots full, requests came over to the new region beside the shift, past its cap. Ruled out: the shares themselves (TestSharesStayUnderTheCap) and the ramp (part and stage were right). Change: a request that goes from a shift's old region to its new one takes from the shift's share, whether the shift or a full home region sent it.

--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -188,15 +188,14 @@
 	if pool == nil {
 		return nil, false
 	}
+	regions := pool.Regions()
 	capped := false
-	for _, region := range f.order(now, j, pool.Regions()) {
+	for _, region := range f.order(j, regions) {
 		u := f.balancer.Choose(now, pool, region, tried)
 		if u == nil {
 			continue
 		}
-		resource := cataloguer.RegionResource(region)
-		f.Holder.Demand(now, resource, 1)
-		if f.Holder.Take(now, resource, 1) {
+		if f.take(now, j, regions[0], region) {
 			return u, false
 		}
 		u.Release()
@@ -208,22 +207,33 @@
 	return nil, capped
 }
 
+// take uses the limits of a request that goes from its home region to another. Everything that reaches a
+// shift's new region counts against the shift's cap, also what comes over because home is full: its cold
+// caches can't tell the two apart.
+func (f *Forwarder) take(now time.Time, j *job, home, region string) bool {
+	for _, s := range j.view.Catalogue.Shifts {
+		if s.Service == j.entry.Service && s.From == home && s.To == region {
+			if !f.takeOne(now, cataloguer.ShiftResource(s.Name)) {
+				return false
+			}
+		}
+	}
+	return f.takeOne(now, cataloguer.RegionResource(region))
+}
+
+func (f *Forwarder) takeOne(now time.Time, resource string) bool {
+	f.Holder.Demand(now, resource, 1)
+	return f.Holder.Take(now, resource, 1)
+}
+
 // order puts the regions in the order to try, a shift's new region before its old one for the part of
 // the requests that the shift has reached.
-func (f *Forwarder) order(now time.Time, j *job, regions []string) []string {
+func (f *Forwarder) order(j *job, regions []string) []string {
 	if len(regions) < 2 {
 		return regions
 	}
 	for _, s := range j.view.Catalogue.Shifts {
-		if s.Service != j.entry.Service || s.From != regions[0] {
-			continue
-		}
-		if !f.ramps.chosen(s.Name) {
-			continue
-		}
-		resource := cataloguer.ShiftResource(s.Name)
-		f.Holder.Demand(now, resource, 1)
-		if f.Holder.Take(now, resource, 1) {
+		if s.Service == j.entry.Service && s.From == regions[0] && f.ramps.chosen(s.Name) {
 			return preferred(regions, s.To)
 		}
 	}
--- /dev/null
+++ b/standin/internal/trials/limits_test.go
@@ -0,0 +1,99 @@
+package trials
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/standin/internal/loader"
+	"chervilrail.example/standin/internal/starter"
+)
+
+// flood sends to all entry instances for a while, and returns how long that took.
+func flood(s *starter.System, long time.Duration) time.Duration {
+	began := time.Now()
+	var group sync.WaitGroup
+	for i := range 4 * len(s.Entries) {
+		group.Go(func() {
+			c := &loader.Caller{Service: "listings"}
+			for time.Since(began) < long {
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				c.SendTo(ctx, s.CallerURL(i%len(s.Entries)), loader.Request{Method: http.MethodGet, Path: "/events"})
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	return time.Since(began)
+}
+
+// served adds up what upstreams of some indexes answered.
+func served(s *starter.System, of func(i int) bool) int64 {
+	var sum int64
+	for _, r := range stats(s) {
+		for i, b := range s.Backends {
+			if b.Name == r.Name && of(i) {
+				sum += r.Served
+			}
+		}
+	}
+	return sum
+}
+
+// most is how many requests a cap allows over a stretch of time, counted by sliding seconds.
+func most(perSecond int64, long time.Duration) int64 {
+	return perSecond * (int64(long/time.Second) + 2)
+}
+
+// Callers send far more than a region's cap through two entry instances, while the leader is killed. Were
+// the shares to add up to more than the cap at any time, the region would be overloaded by the system.
+func TestRegionStaysUnderItsCap(t *testing.T) {
+	is := is.New(t)
+	const limit = 64
+	s := start(t, 3, 2)
+	backends(t, s, "listings", 1, time.Millisecond) // in almaty alone
+	text := strings.Replace(catalogue(t), "cap = 4000\nfloor = 20", "cap = 64\nfloor = 4", 1)
+	is.NoErr(s.Apply(text))
+	time.Sleep(time.Second) // until the window before the change has passed
+	before := served(s, func(int) bool { return true })
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(time.Second)
+		s.Controllers[leader(t, s)].Kill()
+	})
+	took := flood(s, 6*time.Second)
+	group.Wait()
+	got := served(s, func(int) bool { return true }) - before
+	is.True(got <= most(limit, took))
+	is.True(got > limit) // and the cap is used
+}
+
+// A service moves from one region to another, and callers send far more than the move may bring. The new
+// region's caches are cold; past the cap they would be overrun.
+func TestShiftStaysUnderItsCap(t *testing.T) {
+	is := is.New(t)
+	const limit = 32
+	s := start(t, 3, 1)
+	backends(t, s, "listings", 2, time.Millisecond) // one in almaty, one in astana
+	astana := func(i int) bool { return i == 1 }
+	text := strings.Replace(catalogue(t), "[entry venue]", `[shift move]
+service = listings
+from = almaty
+to = astana
+part = 100
+stages = 1
+cap = 32
+
+[entry venue]`, 1)
+	is.NoErr(s.Apply(text))
+	before := served(s, astana)
+	took := flood(s, 4*time.Second)
+	got := served(s, astana) - before
+	is.True(got <= most(limit, took))
+	is.True(got > limit) // and the move goes on
+}
