--- /dev/null
+++ b/controller/internal/consenter/loop.go
@@ -0,0 +1,146 @@
+package consenter
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"chervilrail.example/core/replicator"
+	"chervilrail.example/core/wire"
+)
+
+func (c *Consenter) run(ctx context.Context) {
+	defer close(c.done)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.abandon()
+			return
+		case e := <-c.events:
+			e.handle(c, time.Now())
+			c.drain()
+		case <-ticker.C:
+			c.replica.Tick(time.Now())
+		}
+		if err := c.settle(); err != nil {
+			_ = level.Error(c.Logger).Log("msg", "control state can't go on", "err", err)
+			c.abandon()
+			c.Fatal <- err
+			return
+		}
+	}
+}
+
+// drain takes what queued up meanwhile, so that one sync serves many proposals.
+func (c *Consenter) drain() {
+	for range queueLength {
+		select {
+		case e := <-c.events:
+			e.handle(c, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// settle saves, sends and applies until nothing is left to do.
+func (c *Consenter) settle() error {
+	now := time.Now()
+	c.replica.Flush(now)
+	for {
+		ready := c.replica.Ready()
+		if empty(ready) {
+			break
+		}
+		if err := c.save(ready); err != nil {
+			return err
+		}
+		c.dispatch(ready.Messages)
+		for _, e := range ready.Commits {
+			c.apply(e)
+		}
+	}
+	c.noticeRole(now)
+	c.noticeCatalogue()
+	c.summarise(now)
+	return c.compact()
+}
+
+func empty(r replicator.Ready) bool {
+	return r.Vote == nil && r.Snapshot == nil && len(r.Entries)+len(r.Messages)+len(r.Commits) == 0
+}
+
+func (c *Consenter) save(ready replicator.Ready) error {
+	if err := c.saveGroup(); err != nil {
+		return err
+	}
+	if ready.Snapshot != nil {
+		if err := c.store.SaveSnapshot(ready.Snapshot, true); err != nil {
+			return err
+		}
+		if err := c.restore(ready.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := c.store.Save(ready.Vote, ready.Entries); err != nil {
+		return err
+	}
+	if n := len(ready.Entries); n > 0 {
+		c.replica.Saved(ready.Entries[n-1].GetIndex())
+	}
+	return nil
+}
+
+// saveGroup remembers the group on first contact: a replica that forgot it could join another group's
+// log after a restart.
+func (c *Consenter) saveGroup() error {
+	if c.roster.group == c.replica.Group {
+		return nil
+	}
+	c.roster.group = c.replica.Group
+	return c.store.SaveIdentity(&wire.Identity{Group: c.replica.Group, Self: c.Member})
+}
+
+func (c *Consenter) dispatch(messages []*wire.Message) {
+	for _, m := range messages {
+		if m.GetKind() == wire.MessageKind_MESSAGE_JOIN {
+			c.broadcast(m)
+			continue
+		}
+		if address, ok := c.address(m.GetTo()); ok {
+			c.Sender.Send(address, m)
+		}
+	}
+}
+
+// address prefers the settings, so that a replica which moved to another address is found again.
+func (c *Consenter) address(m *wire.Member) (netip.AddrPort, bool) {
+	if address, ok := c.Peers[m.GetName()]; ok {
+		return address, true
+	}
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	return address, err == nil
+}
+
+func (c *Consenter) broadcast(m *wire.Message) {
+	for name, address := range c.Peers {
+		if name != c.Member.GetName() {
+			c.Sender.Send(address, m)
+		}
+	}
+}
+
+func (c *Consenter) compact() error {
+	if c.replica.LogLength() < compactAfter || c.committed == 0 {
+		return nil
+	}
+	data, err := c.state.Snapshot()
+	if err != nil {
+		return err
+	}
+	return c.store.SaveSnapshot(c.replica.Compact(c.committed, data), false)
+}
--- /dev/null
+++ b/controller/internal/consenter/summary.go
@@ -0,0 +1,60 @@
+package consenter
+
+import (
+	"time"
+
+	"chervilrail.example/core/wire"
+)
+
+// Summary is what metrics and health checks read without entering the control goroutine.
+type Summary struct {
+	Leads   bool
+	Leader  string
+	Number  uint64
+	Commit  uint64
+	Claims  int
+	Term    uint64
+	Entries int
+	At      time.Time
+	Limits  []*wire.LimitStatus
+}
+
+// Summary returns the newest summary, or nil before the first.
+func (c *Consenter) Summary() *Summary { return c.healthy.Load() }
+
+func (c *Consenter) summarise(now time.Time) {
+	if last := c.healthy.Load(); last != nil && now.Sub(last.At) < tickEvery {
+		return
+	}
+	s := &Summary{
+		Leads:   c.leads(now),
+		Leader:  c.replica.LeaderMember().GetName(),
+		Number:  c.state.Number(),
+		Commit:  c.committed,
+		Claims:  c.state.Ledger.Count(),
+		Term:    c.replica.Term(),
+		Entries: c.roster.count(now),
+		At:      now,
+	}
+	if s.Leads {
+		s.Limits = c.limitStatus(now)
+	}
+	c.healthy.Store(s)
+}
+
+func (c *Consenter) limitStatus(now time.Time) []*wire.LimitStatus {
+	var out []*wire.LimitStatus
+	for _, l := range c.limits {
+		out = append(out, &wire.LimitStatus{
+			Resource:    l.Resource,
+			Cap:         l.Cap,
+			Outstanding: c.grants.Outstanding(now, l.Resource),
+		})
+	}
+	return out
+}
+
+// leads reports whether this controller may answer now: it leads and its quorum confirmed that lately.
+func (c *Consenter) leads(now time.Time) bool {
+	return now.Before(c.replica.LeaseDeadline(now))
+}
--- /dev/null
+++ b/standin/internal/measurer/idle.go
@@ -0,0 +1,80 @@
+package measurer
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"chervilrail.example/standin/internal/starter"
+)
+
+const (
+	idleTime = 15 * time.Second
+	million  = 1e6
+	percent  = 100
+)
+
+// usage is what a process says of itself in its metrics.
+type usage struct {
+	cpu    float64
+	memory float64
+}
+
+// idle measures what control alone costs while no caller asks for anything.
+func (m *measurer) idle() error {
+	fmt.Fprintf(m.out, "\nControl alone, %d entry instances, %d upstreams, over %s\n\n", entries, len(m.system.Backends), idleTime)
+	fmt.Fprintln(m.out, "| role | share of a core | resident memory |\n|---|---|---|")
+	roles := []struct {
+		name      string
+		processes []*starter.Process
+		port      int
+	}{
+		{"entry", m.system.Entries, starter.MetricsPort},
+		{"controller", m.system.Controllers, starter.OperatorPort},
+	}
+	before := map[string]usage{}
+	for _, r := range roles {
+		for _, p := range r.processes {
+			before[p.Name] = m.usage(p, r.port)
+		}
+	}
+	time.Sleep(idleTime)
+	for _, r := range roles {
+		var cpu, memory float64
+		for _, p := range r.processes {
+			now := m.usage(p, r.port)
+			cpu = max(cpu, now.cpu-before[p.Name].cpu)
+			memory = max(memory, now.memory)
+		}
+		fmt.Fprintf(m.out, "| %s, the busiest of %d | %.2f%% | %.1f MB |\n", r.name, len(r.processes),
+			percent*cpu/idleTime.Seconds(), memory/million)
+	}
+	return nil
+}
+
+func (m *measurer) usage(p *starter.Process, port int) usage {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", p.Address, port))
+	if err != nil {
+		return usage{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var out usage
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		name, text, _ := strings.Cut(lines.Text(), " ")
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "process_cpu_seconds_total":
+			out.cpu = value
+		case "process_resident_memory_bytes":
+			out.memory = value
+		}
+	}
+	return out
+}
--- a/standin/internal/measurer/measurer.go
+++ b/standin/internal/measurer/measurer.go
@@ -78,7 +78,7 @@
 	if err := m.start(); err != nil {
 		return err
 	}
-	for _, step := range []func() error{m.latency, m.lookups, m.bookings, m.inForce, m.elections} {
+	for _, step := range []func() error{m.idle, m.latency, m.lookups, m.bookings, m.inForce, m.elections} {
 		if err := step(); err != nil {
 			return err
 		}
