--- a/core/replicator/group_test.go
+++ b/core/replicator/group_test.go
@@ -315,9 +315,7 @@
 		}
 	}
 	for range 400 {
-		for len(g.flight) > 0 {
-			g.deliver(0, false)
-		}
+		g.deliverAll()
 		g.advance(10 * time.Millisecond)
 		if l := g.leader(); l != nil && g.level(l) {
 			return l
@@ -327,12 +325,24 @@
 	return nil
 }
 
+// deliverAll delivers until nothing is in flight; messages that answer each other for ever, without any
+// time passing, would keep the replicas and the network busy for nothing.
+func (g *group) deliverAll() {
+	const most = 20_000
+	for range most {
+		if len(g.flight) == 0 {
+			return
+		}
+		g.deliver(0, false)
+	}
+	last := g.flight[0]
+	g.t.Fatalf("%d messages at one instant, the next from %s to %s: %s", most, last.GetFrom().GetName(), last.GetTo().GetName(), last)
+}
+
 // calm runs without faults for a while, but for what is cut or blocked.
 func (g *group) calm(d time.Duration) {
 	for range d / (5 * time.Millisecond) {
-		for len(g.flight) > 0 {
-			g.deliver(0, false)
-		}
+		g.deliverAll()
 		g.advance(5 * time.Millisecond)
 	}
 }
--- a/core/replicator/membership.go
+++ b/core/replicator/membership.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,7 +11,7 @@
 	"chervilrail.example/core/wire"
 )
 
-// JoinTargets are where a replica without a seat announces itself; the caller fills in To and sends.
+// askToJoin announces a replica without a seat; the caller sends the message to every other controller.
 func (r *Replica) askToJoin() {
 	r.outbox = append(r.outbox, &wire.Message{
 		Kind:  wire.MessageKind_MESSAGE_JOIN,
@@ -73,7 +75,8 @@
 }
 
 func (r *Replica) admit(now time.Time) {
-	for k, j := range r.joiners {
+	for _, k := range sortedKeys(r.joiners) {
+		j := r.joiners[k]
 		delete(r.joiners, k)
 		if r.member(k) || !r.seatFree(now, j) {
 			continue
@@ -87,6 +90,12 @@
 	}
 }
 
+func sortedKeys(joiners map[key]*wire.Member) []key {
+	return slices.SortedFunc(maps.Keys(joiners), func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.incarnation, b.incarnation))
+	})
+}
+
 func (r *Replica) member(k key) bool {
 	return slices.ContainsFunc(r.log.config().GetMembers(), func(m *wire.Member) bool { return keyOf(m) == k })
 }
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -206,7 +206,7 @@
 	if r.role != Leader {
 		return
 	}
-	for _, p := range r.peers {
+	for _, p := range r.others() {
 		if p.next <= r.log.last() {
 			r.sendAppend(now, p)
 		}
@@ -264,7 +264,7 @@
 			delete(r.rounds, round)
 		}
 	}
-	for _, p := range r.peers {
+	for _, p := range r.others() {
 		r.sendAppend(now, p)
 	}
 	r.advanceCommit()
@@ -333,6 +333,18 @@
 	}
 }
 
+// others lists the progress of the other members in the order of the replica set, never of a map: equal
+// inputs must give equal outputs, or a schedule that failed could not be played again.
+func (r *Replica) others() []*progress {
+	var out []*progress
+	for _, m := range r.log.config().GetMembers() {
+		if p, ok := r.peers[keyOf(m)]; ok {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 func (r *Replica) voters() []*wire.Member {
 	var out []*wire.Member
 	for _, m := range r.log.config().GetMembers() {
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -212,6 +212,11 @@
 	if m.GetHint()+1 >= p.next && !p.probing {
 		return
 	}
+	if m.GetHint() < p.match {
+		// An old refusal, or a replica that lost what it acknowledged. Answering at once could go on for
+		// ever; the next heartbeat asks again.
+		return
+	}
 	p.next = max(p.match+1, min(m.GetHint()+1, r.log.last()+1))
 	p.probing = true
 	p.inflight = 0
@@ -228,15 +233,10 @@
 	}
 	p.probing = false
 	p.next = max(p.next, p.match+1)
-	before := r.commit
 	r.advanceCommit()
 	if p.next <= r.log.last() && p.inflight == 0 {
 		r.sendAppend(now, p)
 	}
-	if r.commit > before {
-		// Followers learn of the commit with the next append or heartbeat; nothing waits for it.
-		return
-	}
 }
 
 func (r *Replica) handleSnapshot(now time.Time, m *wire.Message) {
@@ -248,6 +248,13 @@
 		r.reply(m, &wire.Message{Index: r.commit})
 		return
 	}
+	if r.log.term(s.GetIndex()) == s.GetTerm() {
+		// The log already holds what the snapshot covers. Replacing it would drop entries after the
+		// snapshot that this replica has acknowledged, and that a leader may have counted.
+		r.commit = s.GetIndex()
+		r.reply(m, &wire.Message{Index: s.GetIndex()})
+		return
+	}
 	r.log.reset(s)
 	r.restored = s
 	r.commit = s.GetIndex()
