--- a/standin/internal/sloper/measures.go
+++ b/standin/internal/sloper/measures.go
@@ -59,6 +59,7 @@
 		var table *mapper.Table
 		took := timeOf(1, 1, func() { table = mapper.Build(input) })
 		build.add(n, float64(took)/float64(time.Millisecond))
+		table = nil
 		memory.add(n, heapOf(func() any {
 			table = mapper.Build(input)
 			return table
