--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -85,9 +85,9 @@
 func (c *Config) section(d *parser.Document, s *parser.Section) {
 	switch s.Kind {
 	case "controller":
-		c.Name = d.String(s, "name", "")
-		c.Region = d.String(s, "region", "")
-		c.Zone = d.String(s, "zone", "")
+		c.Name = d.Name(s, "name")
+		c.Region = d.Name(s, "region")
+		c.Zone = d.Name(s, "zone")
 		c.Folder = d.String(s, "folder", "")
 	case "listen":
 		c.Control = d.Address(s, "control", true)
--- a/core/cataloguer/parse.go
+++ b/core/cataloguer/parse.go
@@ -88,21 +88,11 @@
 	if s.Kind == "link" {
 		return
 	}
-	if !validName(s.Name) {
+	if !parser.ValidName(s.Name) {
 		r.Fault(s, "", "a name of letters, digits and hyphens after the kind", strconv.Quote(s.Name))
 	}
 }
 
-func validName(name string) bool {
-	if name == "" || len(name) > 63 {
-		return false
-	}
-	return strings.IndexFunc(name, func(c rune) bool {
-		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
-		return !letter && (c < '0' || c > '9') && c != '-'
-	}) < 0
-}
-
 func (r *reader) region(s *parser.Section) {
 	r.out.Regions = append(r.out.Regions, Region{
 		Name:  s.Name,
--- a/core/parser/values.go
+++ b/core/parser/values.go
@@ -31,6 +31,30 @@
 	return fallback
 }
 
+// maxName is the length of a label in a host name.
+const maxName = 63
+
+// ValidName reports whether a name holds only letters, digits and hyphens, so that it can stand in host
+// names, file names and JSON as it is.
+func ValidName(name string) bool {
+	if name == "" || len(name) > maxName {
+		return false
+	}
+	return strings.IndexFunc(name, func(c rune) bool {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		return !letter && (c < '0' || c > '9') && c != '-'
+	}) < 0
+}
+
+// Name reads a required name.
+func (d *Document) Name(s *Section, key string) string {
+	name := d.String(s, key, "")
+	if name != "" && !ValidName(name) {
+		d.Fault(s, key, "letters, digits and hyphens", strconv.Quote(name))
+	}
+	return name
+}
+
 // Optional reads a text that may be absent.
 func (d *Document) Optional(s *Section, key string) string {
 	s.read[key] = true
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -91,9 +91,9 @@
 func (c *Config) section(d *parser.Document, s *parser.Section) {
 	switch s.Kind {
 	case "entry":
-		c.Name = d.String(s, "name", "")
-		c.Region = d.String(s, "region", "")
-		c.Zone = d.String(s, "zone", "")
+		c.Name = d.Name(s, "name")
+		c.Region = d.Name(s, "region")
+		c.Zone = d.Name(s, "zone")
 	case "listen":
 		c.Caller = d.Address(s, "caller", true)
 		c.Upstream = d.Address(s, "upstream", true)
--- a/entry/internal/config/config_test.go
+++ b/entry/internal/config/config_test.go
@@ -25,6 +25,7 @@
 func TestFaultsAreNamed(t *testing.T) {
 	cases := []struct{ name, old, replacement, want string }{
 		{"unknown key", "zone =", "zoen =", "[entry] zoen: expected a key known here"},
+		{"bad name", "name = e1", "name = e\"1", "name: expected letters, digits and hyphens"},
 		{"bad address", "caller = 127.0.2.1:8000", "caller = :8000", "caller: expected an IP number and port"},
 		{"same address", "peer = 127.0.2.1:8002", "peer = 127.0.2.1:8000", "peer: expected an address apart from caller"},
 		{"no controllers", "addresses = 127.0.1.1:7000, 127.0.1.2:7000, 127.0.1.3:7000", "addresses =", "at least one controller"},
