Placing by object; signals reload; connections are used again

Ruled out: slots as the limit (26 of 60 are busy when warm).

Cause: half of the requests to another region took 70 ms more. The deadline of the last request stayed on a kept connection, and the check before its next use failed.

Both programs now read their settings again.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -25,6 +25,7 @@
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/listener"
 	"chervilrail.example/core/logger"
+	"chervilrail.example/core/reloader"
 	"chervilrail.example/core/replicator"
 	"chervilrail.example/core/reporter"
 	"chervilrail.example/core/securer"
@@ -121,6 +122,11 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	k := assemble(settings)
+	k.Services = append([]kernel.Service{&reloader.Reloader{
+		// What the settings say takes effect with the next start.
+		Load:   func() error { _, err := load(c); return err },
+		Logger: k.Logger,
+	}}, k.Services...)
 	_ = level.Info(k.Logger).Log("msg", "starting", "control", settings.Control, "operator", settings.Operator)
 	return k.Run(ctx)
 }
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -3,6 +3,7 @@
 package messenger
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -24,6 +25,14 @@
 	Slots   int32
 }
 
+// String writes the load for logs.
+func (l *Load) String() string {
+	if l == nil {
+		return ""
+	}
+	return fmt.Sprintf("%d+%d/%d", l.Running, l.Waiting, l.Slots)
+}
+
 // Reply is what a target's answer says of itself.
 type Reply struct {
 	// ID is the call that the answer belongs to.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -19,13 +19,12 @@
 )
 
 const (
-	// warmObjects is how many objects each target is given to keep warm; targets forget those they handled longest
+	// warmObjects is how many objects a target is expected to keep warm; targets forget those they handled longest
 	// ago, from about 35 on.
 	warmObjects = 30
-	// warmGain is how much shorter a warm target works, as a part of the usual time: measured 0.3.
-	warmGain = 0.3
-	// keyLife is how long an object counts as in use.
-	keyLife = 10 * time.Second
+	// warmQueue is how many requests may wait at a target that has the object warm. It works three times as fast as
+	// any other, so a short wait there beats a free slot elsewhere.
+	warmQueue = 1.5
 	// holdParts: a request that can't be on time is held for at most a quarter of the time it has left, for its
 	// caller can still be served elsewhere or later.
 	holdParts = 4
@@ -35,6 +34,8 @@
 	firstWork = 200 * time.Millisecond
 	// minRetry is the shortest time after which a refused caller is asked back.
 	minRetry = 50 * time.Millisecond
+	// maxFavourites bounds the remembered choices; a plan's routes and their objects come to a few hundred.
+	maxFavourites = 16384
 )
 
 // Ticket is one request that wants a target. Set the exported fields, then Offer it.
@@ -46,8 +47,9 @@
 	// Aim is until when an answer is on time, Deadline until when it is of use at all.
 	Aim      time.Time
 	Deadline time.Time
-	// Work is the expected service time.
-	Work time.Duration
+	// Warm and Cold are the expected service times at a target that has the object warm, and at another.
+	Warm time.Duration
+	Cold time.Duration
 	// Tried are targets not to use again.
 	Tried []string
 	// Regions that may serve the request; empty allows all.
@@ -71,8 +73,9 @@
 
 // Outcome is how a request at a target ended.
 type Outcome struct {
-	// Took is the time to the answer; zero if there was none.
-	Took time.Duration
+	// Took is the time to the answer, zero if there was none; Usual is what was expected.
+	Took  time.Duration
+	Usual time.Duration
 	// Failed: no answer of use. Unreachable: the target could not be spoken to.
 	Failed      bool
 	Unreachable bool
@@ -92,44 +95,42 @@
 	byName  map[string]*Target
 	queue   []*Ticket
 	work    time.Duration
-	keys    map[string]time.Time
-	own     int
+	// share is how many slots there are for each entry instance.
+	share float64
+	// favourites holds, by object, the target of each region that is to keep it warm.
+	favourites map[string][]*Target
 }
 
-// Update follows the control state. Targets that stay keep what is known of them.
-func (p *Placer) Update(specs []Spec) {
+// Update follows the control state; entries is how many entry instances share the targets. Targets that stay keep
+// what is known of them.
+func (p *Placer) Update(specs []Spec, entries int) {
 	old := p.byName
 	p.byName = map[string]*Target{}
-	p.targets = p.targets[:0:0]
-	p.own = 0
+	p.targets = nil
+	p.favourites = map[string][]*Target{}
+	slots := int32(0)
 	for _, s := range specs {
 		t, ok := old[s.Name]
 		if !ok || t.Incarnation != s.Incarnation {
-			t = &Target{}
+			t = newTarget()
 		}
 		t.Spec = s
-		t.gone = false
 		p.byName[s.Name] = t
 		p.targets = append(p.targets, t)
-		p.own += int(s.Own)
-	}
-	for name, t := range old {
-		if p.byName[name] != t {
-			t.gone = true
-		}
+		slots += s.Slots
 	}
+	p.share = float64(slots) / float64(max(1, entries))
 }
 
 // Offer places a ticket at once, lets it wait, or refuses it; waiting is reported by false.
 func (p *Placer) Offer(now time.Time, t *Ticket) (Decision, bool) {
 	t.arrived = now
-	p.see(now, t.Key)
 	if len(p.targets) == 0 {
 		return Decision{Retry: now.Add(time.Second), Reason: "targets"}, true
 	}
 	if p.ahead(now, t) == 0 {
 		if target := p.choose(now, t); target != nil {
-			target.start(now)
+			target.start(now, t.Key)
 			return Decision{Target: target}, true
 		}
 	}
@@ -144,9 +145,9 @@
 
 // giveUp is until when a ticket waits: while it can be on time, and a little beyond.
 func (p *Placer) giveUp(now time.Time, t *Ticket) time.Time {
-	onTime := t.Aim.Add(-t.Work)
+	onTime := t.Aim.Add(-t.Warm)
 	late := now.Add(t.Deadline.Sub(now) / holdParts)
-	if last := t.Deadline.Add(-t.Work); late.After(last) {
+	if last := t.Deadline.Add(-t.Warm); late.After(last) {
 		late = last
 	}
 	if onTime.After(late) {
@@ -181,13 +182,10 @@
 	return a.arrived.Before(b.arrived)
 }
 
-func (t *Ticket) onTime(now time.Time) bool { return !now.Add(t.Work).After(t.Aim) }
+func (t *Ticket) onTime(now time.Time) bool { return !now.Add(t.Warm).After(t.Aim) }
 
 func (p *Placer) expectedWait(now time.Time, t *Ticket) time.Duration {
-	if p.own == 0 {
-		return p.usual()
-	}
-	return p.usual() * time.Duration(p.ahead(now, t)+1) / time.Duration(p.own)
+	return time.Duration(float64(p.usual()) * float64(p.ahead(now, t)+1) / max(1, p.share))
 }
 
 func (p *Placer) usual() time.Duration {
@@ -222,7 +220,7 @@
 	var rest []*Ticket
 	for _, t := range p.queue {
 		if target := p.choose(now, t); target != nil {
-			target.start(now)
+			target.start(now, t.Key)
 			out = append(out, Placed{t, Decision{Target: target}})
 			continue
 		}
@@ -249,16 +247,17 @@
 // Waiting returns how many tickets wait.
 func (p *Placer) Waiting() int { return len(p.queue) }
 
-// choose returns the target where the request is expected to be done first, or nil if no slot is free.
+// choose returns the target where the request is expected to be done first, or nil if none has room.
 func (p *Placer) choose(now time.Time, t *Ticket) *Target {
-	warm := p.warm(t.Key)
+	favourites := p.favoured(t.Key)
 	var best *Target
 	var least time.Duration
 	for _, target := range p.targets {
-		if !p.allowed(target, t) {
+		if !p.allowed(target, t) || !target.usable(now) {
 			continue
 		}
-		cost, ok := p.cost(now, target, t, slices.Contains(warm, target))
+		warm := t.Key != "" && (slices.Contains(favourites, target) || target.keys.has(t.Key))
+		cost, ok := p.cost(now, target, t, warm)
 		if ok && (best == nil || cost < least) {
 			best, least = target, cost
 		}
@@ -273,51 +272,62 @@
 	return len(t.Regions) == 0 || slices.Contains(t.Regions, target.Region)
 }
 
-// cost estimates the time to the answer; false means that the target has no slot for this entry instance.
+// cost estimates the time to the answer; false means that the target has no room for one more.
 func (p *Placer) cost(now time.Time, target *Target, t *Ticket, warm bool) (time.Duration, bool) {
-	if !target.free(now) && !target.borrowable(now) {
-		return 0, false
-	}
-	cost := t.Work
+	work, queue := t.Cold, 0.0
 	if warm {
-		cost -= time.Duration(warmGain * float64(t.Work))
+		work, queue = t.Warm, warmQueue
 	}
+	slots := float64(target.Slots)
+	held := target.held(now)
+	if held+1 > slots+queue && target.running >= target.Own {
+		return 0, false
+	}
+	wait := max(0, held+1-slots) / max(1, slots) * float64(p.usual())
+	cost := time.Duration((float64(work) + wait) * target.slowness(now))
 	if target.Region != p.Region {
 		cost += p.Far
 	}
-	if target.bad > badRate {
-		cost += t.Work
-	}
-	// Of equals, the one with most idle slots: sends to it collide least with other entry instances'.
-	busy := float64(target.running) / float64(max(1, target.Slots))
 	if target.Zone != p.Zone {
-		busy += zoneWeight
+		cost += zoneCost
 	}
-	return cost + time.Duration(busy*float64(time.Millisecond)), true
+	// Of equals, the emptier one: sends to it collide least with other entry instances'.
+	return cost + time.Duration(held/max(1, slots)*float64(emptier)), true
 }
 
-// zoneWeight prefers the own availability zone among equals: bytes between zones cost, time hardly differs.
-const zoneWeight = 0.5
+const (
+	// zoneCost prefers the own availability zone among equals: bytes between zones cost, time hardly differs.
+	zoneCost = time.Millisecond
+	// emptier is what a full target costs over an empty one, where both have room.
+	emptier = 10 * time.Millisecond
+)
 
-// warm returns the targets that are given the object to keep warm: the first few in an order that every entry
-// instance computes alike. They are as many as fit what targets keep, over all objects in use.
-func (p *Placer) warm(key string) []*Target {
-	if key == "" || len(p.targets) == 0 {
+// favoured returns the target of each region that is to keep an object warm. Every entry instance computes the same
+// ones, so an object is warm there whichever instance its last request came by.
+func (p *Placer) favoured(key string) []*Target {
+	if key == "" {
 		return nil
 	}
-	var near []*Target
+	if found, ok := p.favourites[key]; ok {
+		return found
+	}
+	first := map[string]*Target{}
 	for _, t := range p.targets {
-		if t.Region == p.Region {
-			near = append(near, t)
+		if f, ok := first[t.Region]; !ok || weight(key, t.Name) > weight(key, f.Name) {
+			first[t.Region] = t
 		}
 	}
-	if len(near) == 0 {
-		near = slices.Clone(p.targets)
+	var out []*Target
+	for _, t := range p.targets {
+		if first[t.Region] == t {
+			out = append(out, t)
+		}
 	}
-	copies := warmObjects * len(near) / max(1, len(p.keys))
-	copies = min(max(1, copies), len(near))
-	sort.Slice(near, func(i, j int) bool { return weight(key, near[i].Name) > weight(key, near[j].Name) })
-	return near[:copies]
+	if len(p.favourites) >= maxFavourites {
+		p.favourites = map[string][]*Target{}
+	}
+	p.favourites[key] = out
+	return out
 }
 
 func weight(key, name string) uint64 {
@@ -329,20 +339,7 @@
 	return d.Sum64()
 }
 
-// see counts the objects in use.
-func (p *Placer) see(now time.Time, key string) {
-	if key == "" {
-		return
-	}
-	if p.keys == nil {
-		p.keys = map[string]time.Time{}
-	}
-	if _, ok := p.keys[key]; !ok {
-		for k, at := range p.keys {
-			if now.Sub(at) > keyLife {
-				delete(p.keys, k)
-			}
-		}
-	}
-	p.keys[key] = now
+// Warm reports whether a target is expected to have an object warm; ask before a request is sent.
+func (p *Placer) Warm(t *Target, key string) bool {
+	return key != "" && (slices.Contains(p.favoured(key), t) || t.keys.has(key))
 }
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -1,24 +1,33 @@
 package placer
 
 import (
+	"math"
 	"net/netip"
 	"time"
-
-	"chervilrail.example/core/messenger"
 )
 
 const (
-	// reportLife is how long a target's report of its load counts: about two of the shortest service times.
-	reportLife = 600 * time.Millisecond
-	// ejectFirst and ejectMost bound how long a target that failed is left alone; each failure in a row doubles it.
+	// reportFade is the time in which what a target's report said of other instances' requests loses two thirds of
+	// its weight: a few service times, after which those requests have ended.
+	reportFade = 500 * time.Millisecond
+	// ejectFirst and ejectMost bound how long a target that can't be reached is left alone; each failure in a row
+	// doubles it.
 	ejectFirst = 250 * time.Millisecond
 	ejectMost  = 4 * time.Second
+	// maxDoublings keeps the doubling from overflowing.
+	maxDoublings = 5
 	// coldWindow is the span in which requests to a cold target are counted.
 	coldWindow = time.Second
-	// badWeight is the weight of the newest outcome in a target's failure rate; a rate above badRate marks a
-	// target that fails part of its requests though it looks healthy.
-	badWeight = 0.15
-	badRate   = 0.35
+	// newest is the weight of the newest outcome in a target's pace and failure rate.
+	newest = 0.2
+	// forget is the time in which a bad opinion of a target loses two thirds of its weight, so that it is tried
+	// again: outages and slow spells last some seconds.
+	forget = 4 * time.Second
+	// minPace and maxPace bound how much one outcome can say of a target's pace.
+	minPace = 0.5
+	maxPace = 16
+	// coldPace is how much slower a target works that has just started, until it has shown its own pace.
+	coldPace = 2
 )
 
 // Spec is what the control state says of a target.
@@ -41,69 +50,88 @@
 type Target struct {
 	Spec
 
-	running    int32
-	report     messenger.Load
-	reportAt   time.Time
-	sinceThen  int32
+	running int32
+	// others is how many requests of other instances it held at othersAt.
+	others   float64
+	othersAt time.Time
+	// pace is its service time over the usual one, bad its part of failures, as of opinionAt.
+	pace       float64
+	bad        float64
+	opinionAt  time.Time
 	failures   int
 	ejectUntil time.Time
-	bad        float64
-	sent       []time.Time
-	gone       bool
+	// sent are the latest sends while it was cold.
+	sent []time.Time
+	keys recent
 }
 
-// free reports whether the target may get one more request of this entry instance now.
-func (t *Target) free(now time.Time) bool {
-	if now.Before(t.ejectUntil) || !t.coldAllows(now) {
-		return false
-	}
-	return t.running < t.Own
-}
+func newTarget() *Target { return &Target{pace: 1} }
 
-// borrowable reports whether a slot that belongs to another entry instance seems to be idle.
-func (t *Target) borrowable(now time.Time) bool {
-	if now.Before(t.ejectUntil) || now.Before(t.ColdUntil) || t.running > t.Own {
-		return false
-	}
-	if now.Sub(t.reportAt) > reportLife {
+// usable reports whether the target may be sent to at all now.
+func (t *Target) usable(now time.Time) bool {
+	if now.Before(t.ejectUntil) {
 		return false
 	}
-	return t.report.Running+t.report.Waiting+t.sinceThen < t.Slots
-}
-
-// coldAllows keeps a cold target under its rate: it crashes when it gets much more.
-func (t *Target) coldAllows(now time.Time) bool {
 	if !now.Before(t.ColdUntil) {
 		return true
 	}
-	return float64(len(t.recent(now)))+1 <= t.Rate
+	// A cold target crashes when it gets much more than its rate.
+	return t.Own > 0 && float64(len(t.recentSends(now)))+1 <= t.Rate
 }
 
-func (t *Target) recent(now time.Time) []time.Time {
+func (t *Target) recentSends(now time.Time) []time.Time {
 	for len(t.sent) > 0 && now.Sub(t.sent[0]) >= coldWindow {
 		t.sent = t.sent[1:]
 	}
 	return t.sent
 }
 
-func (t *Target) start(now time.Time) {
+// held estimates how many requests the target holds: this instance's for certain, and what others had there when it
+// last answered, which says less the older it is.
+func (t *Target) held(now time.Time) float64 {
+	return float64(t.running) + t.others*fade(now.Sub(t.othersAt), reportFade)
+}
+
+func fade(age, span time.Duration) float64 { return math.Exp(-float64(age) / float64(span)) }
+
+// slowness is how many times longer than usual the target is expected to take, failures counted as time lost.
+func (t *Target) slowness(now time.Time) float64 {
+	weight := fade(now.Sub(t.opinionAt), forget)
+	pace := 1 + (t.pace-1)*weight
+	if now.Before(t.ColdUntil) {
+		pace = max(pace, coldPace)
+	}
+	return pace * (1 + badCost*t.bad*weight)
+}
+
+// badCost is what a failure costs, in service times: the time until it shows, another attempt elsewhere, and that a
+// request that must not repeat gets no other.
+const badCost = 5
+
+func (t *Target) start(now time.Time, key string) {
 	t.running++
-	t.sinceThen++
+	t.keys.touch(key)
 	if now.Before(t.ColdUntil) {
-		t.sent = append(t.recent(now), now)
+		t.sent = append(t.recentSends(now), now)
 	}
 }
 
 func (t *Target) end(now time.Time, o Outcome) {
-	t.running--
 	if o.Load != nil {
-		t.report, t.reportAt, t.sinceThen = *o.Load, now, 0
+		t.others = float64(max(0, o.Load.Running+o.Load.Waiting-t.running))
+		t.othersAt = now
 	}
+	t.running--
 	failed := 0.0
 	if o.Failed {
 		failed = 1
 	}
-	t.bad += badWeight * (failed - t.bad)
+	t.settleOpinion(now)
+	t.bad += newest * (failed - t.bad)
+	if o.Took > 0 && o.Usual > 0 {
+		pace := min(maxPace, max(minPace, float64(o.Took)/float64(o.Usual)))
+		t.pace += newest * (pace - t.pace)
+	}
 	switch {
 	case o.Unreachable:
 		t.failures++
@@ -113,4 +141,42 @@
 	}
 }
 
-const maxDoublings = 5
+// settleOpinion lets the opinion fade to this moment, so that newer outcomes add to what is left of it.
+func (t *Target) settleOpinion(now time.Time) {
+	weight := fade(now.Sub(t.opinionAt), forget)
+	t.pace = 1 + (t.pace-1)*weight
+	t.bad *= weight
+	t.opinionAt = now
+}
+
+// recent remembers the objects that were sent to a target lately, newest last.
+type recent struct {
+	list []string
+}
+
+func (r *recent) has(key string) bool {
+	for _, k := range r.list {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *recent) touch(key string) {
+	if key == "" {
+		return
+	}
+	for i, k := range r.list {
+		if k == key {
+			copy(r.list[i:], r.list[i+1:])
+			r.list[len(r.list)-1] = key
+			return
+		}
+	}
+	if len(r.list) >= warmObjects {
+		copy(r.list, r.list[1:])
+		r.list = r.list[:len(r.list)-1]
+	}
+	r.list = append(r.list, key)
+}
--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -73,5 +73,5 @@
 	}
 	_ = level.Info(c.Logger).Log("msg", "request", "id", j.call.ID, "route", j.route.GetName(), "service", j.service,
 		"version", version, "target", j.target, "region", j.region, "sends", j.sends, "status", out.status,
-		"reason", out.reason, "waited", j.waited, "took", took, "left", time.Until(j.deadline))
+		"reason", out.reason, "waited", j.waited, "took", took, "left", time.Until(j.deadline), "load", j.load)
 }
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -55,22 +55,28 @@
 }
 
 func (c *Carrier) ticket(j *job, tried []string) *placer.Ticket {
-	key := ""
-	if j.route.GetSticky() && j.call.Key != "" {
-		key = j.route.GetName() + "/" + j.call.Key
-	}
+	warm, cold := c.routes.expected(j.route)
 	return &placer.Ticket{
-		Key:      key,
+		Key:      j.object(),
 		Priority: j.route.GetPriority(),
 		Aim:      j.started.Add(time.Duration(j.route.GetAim())),
 		Deadline: j.deadline,
-		Work:     c.routes.expected(j.route),
+		Warm:     warm,
+		Cold:     cold,
 		Tried:    tried,
 		Regions:  j.route.GetRegions(),
 		Decided:  make(chan placer.Decision, 1),
 	}
 }
 
+// object names what the request concerns, where targets keep that warm.
+func (j *job) object() string {
+	if !j.route.GetSticky() || j.call.Key == "" {
+		return ""
+	}
+	return j.route.GetName() + "/" + j.call.Key
+}
+
 // again decides whether a request is sent once more. What may have run is repeated only if it is idempotent; what
 // reached a target is paid for, for all instances together may repeat only a part of their requests.
 func (c *Carrier) again(j *job, g *gate, end ending) bool {
@@ -104,9 +110,14 @@
 	outcome := placer.Outcome{Failed: end != answered}
 	if how == pooler.Answered {
 		outcome.Load = c.Face.Reply(answer.Status, answer.Header).Load
+		j.load = outcome.Load
 	}
 	if end == answered {
 		outcome.Took = time.Since(start)
+		if t.Region != c.Region {
+			outcome.Took = max(0, outcome.Took-far)
+		}
+		outcome.Usual = c.routes.usual(j.route, outcome.Took)
 		outcome.Failed = answer.Status >= http.StatusInternalServerError
 		c.routes.worked(j.route, outcome.Took)
 		c.Quarantine.Succeed(start, j.fingerprint)
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -149,7 +149,7 @@
 		}
 	}
 	for name, g := range c.gates {
-		g.follow(time.Now(), v.Targets[name])
+		g.follow(time.Now(), v.Targets[name], v.Entries)
 	}
 }
 
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -23,10 +23,10 @@
 	return &gate{place: placer.Placer{Region: region, Zone: zone, Far: far}}
 }
 
-func (g *gate) follow(now time.Time, specs []placer.Spec) {
+func (g *gate) follow(now time.Time, specs []placer.Spec, entries int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.place.Update(specs)
+	g.place.Update(specs, entries)
 	announce(g.place.Tick(now))
 }
 
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -4,13 +4,11 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"chervilrail.example/core/messenger"
-	"chervilrail.example/core/planner"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/watcher"
@@ -41,55 +39,10 @@
 	target string
 	region string
 	sends  int
+	load   *messenger.Load
 	waited time.Duration
 }
 
-// routes remembers what belongs to a route across plans.
-type routes struct {
-	mu        sync.Mutex
-	splitters map[string]*planner.Splitter
-	work      map[string]time.Duration
-}
-
-func (s *routes) next(r *wire.Route) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.splitters == nil {
-		s.splitters = map[string]*planner.Splitter{}
-	}
-	p, ok := s.splitters[r.GetName()]
-	if !ok {
-		p = &planner.Splitter{}
-		s.splitters[r.GetName()] = p
-	}
-	return p.Next(r)
-}
-
-// workSmoothing is the weight of the newest service time of a route: an eighth.
-const workSmoothing = 8
-
-func (s *routes) worked(r *wire.Route, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.work == nil {
-		s.work = map[string]time.Duration{}
-	}
-	old, ok := s.work[r.GetName()]
-	if !ok {
-		old = took
-	}
-	s.work[r.GetName()] = old + (took-old)/workSmoothing
-}
-
-func (s *routes) expected(r *wire.Route) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if took, ok := s.work[r.GetName()]; ok {
-		return took
-	}
-	return time.Duration(r.GetAim()) / 2
-}
-
 // prepare matches and reads a request; a result other than nil ends it.
 func (c *Carrier) prepare(j *job) *result {
 	route, ok := j.view.Table.Match(j.request.Host, j.request.URL.EscapedPath())
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -20,6 +20,7 @@
 	"chervilrail.example/core/listener"
 	"chervilrail.example/core/logger"
 	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/core/reloader"
 	"chervilrail.example/core/reporter"
 	"chervilrail.example/core/securer"
 	"chervilrail.example/entry/internal/announcer"
@@ -77,9 +78,9 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if len(settings.Seeds) > 0 {
-		return newRouted(settings).run(ctx)
+		return newRouted(c.String("config"), settings).run(ctx)
 	}
-	p := newProgram(settings)
+	p := newProgram(c.String("config"), settings)
 	_ = level.Info(p.logger).Log("msg", "starting", "caller", settings.Caller, "region", settings.Region,
 		"zone", settings.Zone)
 	return p.kernel().Run(ctx)
@@ -88,6 +89,7 @@
 // program holds the parts of an entry instance while they are put together.
 type program struct {
 	settings   *config.Config
+	path       string
 	logger     log.Logger
 	registry   *prometheus.Registry
 	control    *securer.Keys
@@ -98,8 +100,8 @@
 	quarantine *quarantiner.Quarantiner
 }
 
-func newProgram(settings *config.Config) *program {
-	p := &program{settings: settings, registry: reporter.Registry(), quarantine: &quarantiner.Quarantiner{}}
+func newProgram(path string, settings *config.Config) *program {
+	p := &program{path: path, settings: settings, registry: reporter.Registry(), quarantine: &quarantiner.Quarantiner{}}
 	p.logger = logger.New(os.Stdout, logger.Options{
 		Format:   settings.LogFormat,
 		Level:    settings.LogLevel,
@@ -149,6 +151,7 @@
 	operator := http.NewServeMux()
 	reporter.Mount(operator, p.registry, k)
 	k.Services = []kernel.Service{
+		&reloader.Reloader{Load: p.reload, Logger: p.logger},
 		p.requester,
 		p.directory,
 		p.sharer,
@@ -168,6 +171,12 @@
 	return k
 }
 
+// reload checks the settings; what they say takes effect with the next start.
+func (p *program) reload() error {
+	_, err := config.Load(p.path)
+	return err
+}
+
 func (p *program) listen(title string, handler http.Handler) *listener.Listener {
 	l := &listener.Listener{Title: title, Handler: handler, Logger: p.logger}
 	switch title {
--- a/entry/internal/cli/routed.go
+++ b/entry/internal/cli/routed.go
@@ -16,6 +16,7 @@
 	"chervilrail.example/core/listener"
 	"chervilrail.example/core/logger"
 	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/core/reloader"
 	"chervilrail.example/core/reporter"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/carrier"
@@ -32,6 +33,7 @@
 // routed holds the parts of an entry instance that routes by a plan while they are put together.
 type routed struct {
 	settings *config.Config
+	path     string
 	logger   log.Logger
 	registry *prometheus.Registry
 	watcher  *watcher.Watcher
@@ -39,8 +41,8 @@
 	leaver   *leaver
 }
 
-func newRouted(settings *config.Config) *routed {
-	p := &routed{settings: settings, registry: reporter.Registry()}
+func newRouted(path string, settings *config.Config) *routed {
+	p := &routed{path: path, settings: settings, registry: reporter.Registry()}
 	p.logger = logger.New(os.Stdout, logger.Options{
 		Format: settings.LogFormat, Level: settings.LogLevel, Program: "entry", Instance: settings.Name,
 	})
@@ -91,6 +93,7 @@
 	reporter.Mount(operator, p.registry, k)
 	s := p.settings
 	k.Services = []kernel.Service{
+		&reloader.Reloader{Load: p.reload, Logger: p.logger},
 		p.carrier,
 		p.watcher,
 		&listener.Listener{Title: "operator", Address: s.Operator, Handler: operator, Logger: p.logger},
@@ -101,6 +104,16 @@
 	return k
 }
 
+// reload checks the settings and takes over the seeds; addresses can't change while connections use them.
+func (p *routed) reload() error {
+	settings, err := config.Load(p.path)
+	if err != nil {
+		return err
+	}
+	p.watcher.Reseed(settings.Seeds)
+	return nil
+}
+
 // ready reports whether callers should be sent here.
 func (p *routed) ready() error {
 	if err := p.leaver.Health(); err != nil {
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -130,6 +130,8 @@
 }
 
 func (p *Pooler) put(c *conn, a *Answer) {
+	// The deadline of the last request would make the connection look broken before the next.
+	_ = c.SetDeadline(time.Time{})
 	c.fresh = false
 	c.idleEnd = time.Now().Add(keepAlive(a.Header))
 	p.mu.Lock()
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -118,6 +118,19 @@
 	w.interrupt()
 }
 
+// Reseed replaces the controllers to turn to when none of the known ones answers.
+func (w *Watcher) Reseed(seeds []netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Seeds = slices.Clone(seeds)
+}
+
+func (w *Watcher) seeds() []netip.AddrPort {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Seeds
+}
+
 // Report passes on that a request was in flight when a target died.
 func (w *Watcher) Report(l *wire.Loss) {
 	w.mu.Lock()
@@ -211,12 +224,14 @@
 	return false
 }
 
-// move chooses another controller. What the next one knows is counted anew.
+// move chooses another controller, of those known and the seeds: all known ones may have been replaced while this
+// instance was cut off. What the next one knows is counted anew.
 func (w *Watcher) move() {
 	s := &w.state
-	others := slices.DeleteFunc(slices.Clone(s.controllers), func(a netip.AddrPort) bool { return a == s.at })
+	all := append(slices.Clone(s.controllers), w.seeds()...)
+	others := slices.DeleteFunc(slices.Clone(all), func(a netip.AddrPort) bool { return a == s.at })
 	if len(others) == 0 {
-		others = s.controllers
+		others = all
 	}
 	s.at = others[rand.IntN(len(others))]
 	s.run, s.counter = 0, 0
