Scarce slots go to warm, urgent and timely requests

Cause: with 2.5 times the callers in the replayed event night 0.41 of browse and 0.60 of pay were on time: when the targets that have an object warm were full, its requests started cold elsewhere, for the time of three others, and late ones queued before timely ones. Ruled out: a price on slot time in the choice (no change, since the full targets were not candidates at all). Change: from 0.6 of the slots taken on, requests wait for warm targets; less urgent kinds leave the urgent one room in a target's queue; what is late needs an idle slot.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -14,9 +14,9 @@
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
+	"chervilrail.example/controller/internal/changer"
 	"chervilrail.example/controller/internal/config"
 	"chervilrail.example/controller/internal/consenter"
-	"chervilrail.example/controller/internal/changer"
 	"chervilrail.example/controller/internal/courier"
 	"chervilrail.example/controller/internal/exchanger"
 	"chervilrail.example/controller/internal/server"
--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -22,8 +22,8 @@
 	maxElection      = time.Minute
 	maxControllers   = 8
 	// defaultSeats lets one voter and one more be lost at once; each further pair costs every change two messages.
-	defaultSeats = 5
-	electionBeats    = 3
+	defaultSeats  = 5
+	electionBeats = 3
 )
 
 // Config is a controller's checked settings.
--- a/controller/internal/consenter/consenter.go
+++ b/controller/internal/consenter/consenter.go
@@ -50,7 +50,7 @@
 	// Changed is called after the routing state has changed; it must not block.
 	Changed func()
 	Logger  log.Logger
-	Fatal  chan<- error
+	Fatal   chan<- error
 
 	replica   replicator.Replica
 	store     storer.Storer
--- a/controller/internal/server/server.go
+++ b/controller/internal/server/server.go
@@ -55,7 +55,7 @@
 
 // Server implements the three services of a controller.
 type Server struct {
-	Mind Mind
+	Mind      Mind
 	Exchanger Exchanger
 	Changer   Changer
 	// Token guards the operators' service; an empty one leaves it open.
--- a/core/dialer/dialer.go
+++ b/core/dialer/dialer.go
@@ -15,7 +15,7 @@
 	// dialTimeout bounds the opening of a connection; the opening packet may be lost once and is sent again after
 	// a second.
 	dialTimeout = 1500 * time.Millisecond
-	perTarget = 16
+	perTarget   = 16
 	// probeIdle and probeAnswer close a connection that went silent: without them a flow that something
 	// between the two ends forgot would swallow every call until the kernel gives up, minutes later.
 	probeIdle   = 2 * time.Second
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -9,6 +9,7 @@
 package placer
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -23,8 +24,18 @@
 	// ago, from about 35 on.
 	warmObjects = 30
 	// warmQueue is how many requests may wait at a target that has the object warm. It works three times as fast as
-	// any other, so a short wait there beats a free slot elsewhere.
-	warmQueue = 1.5
+	// any other, so a short wait there beats a free slot elsewhere. Less urgent kinds of the service leave the
+	// most urgent one a place in that queue. In the replayed event night with 2.5 times the callers, 0.91 of the
+	// urgent kind are on time instead of 0.80, for 0.63 of the other instead of 0.72.
+	warmQueue   = 1.5
+	lesserQueue = 0.5
+	// lateGap is how much of a slot must be left beside a request that can't be on time any more, so that one that
+	// can finds room.
+	lateGap = 0.5
+	// scarceFrom: from this part of taken slots on, requests wait for targets that have their objects warm and start
+	// none cold, which would take the time of three others. In the replayed event night with 2.5 times the callers,
+	// 0.70 are on time instead of 0.41.
+	scarceFrom = 0.6
 	// holdParts: a request that can't be on time is held for at most a quarter of the time it has left, for its
 	// caller can still be served elsewhere or later.
 	holdParts = 4
@@ -97,6 +108,8 @@
 	work    time.Duration
 	// share is how many slots there are for each entry instance.
 	share float64
+	// urgent is the most urgent priority seen since the control state last changed.
+	urgent int32
 	// favourites holds, by object, the target of each region that is to keep it warm.
 	favourites map[string][]*Target
 }
@@ -119,12 +132,14 @@
 		p.targets = append(p.targets, t)
 		slots += s.Slots
 	}
+	p.urgent = math.MaxInt32
 	p.share = float64(slots) / float64(max(1, entries))
 }
 
 // Offer places a ticket at once, lets it wait, or refuses it; waiting is reported by false.
 func (p *Placer) Offer(now time.Time, t *Ticket) (Decision, bool) {
 	t.arrived = now
+	p.urgent = min(p.urgent, t.Priority)
 	if len(p.targets) == 0 {
 		return Decision{Retry: now.Add(time.Second), Reason: "targets"}, true
 	}
@@ -250,6 +265,7 @@
 // choose returns the target where the request is expected to be done first, or nil if none has room.
 func (p *Placer) choose(now time.Time, t *Ticket) *Target {
 	favourites := p.favoured(t.Key)
+	scarce := p.full(now) > scarceFrom && anyUsable(now, favourites)
 	var best *Target
 	var least time.Duration
 	for _, target := range p.targets {
@@ -257,6 +273,9 @@
 			continue
 		}
 		warm := t.Key != "" && (slices.Contains(favourites, target) || target.keys.has(t.Key))
+		if scarce && !warm {
+			continue
+		}
 		cost, ok := p.cost(now, target, t, warm)
 		if ok && (best == nil || cost < least) {
 			best, least = target, cost
@@ -272,6 +291,21 @@
 	return len(t.Regions) == 0 || slices.Contains(t.Regions, target.Region)
 }
 
+// full is the part of all slots that is taken.
+func (p *Placer) full(now time.Time) float64 {
+	held, slots := 0.0, 0.0
+	for _, t := range p.targets {
+		held += min(float64(t.Slots), t.held(now))
+		slots += float64(t.Slots)
+	}
+	return held / max(1, slots)
+}
+
+// anyUsable reports whether some of the targets may be sent to at all.
+func anyUsable(now time.Time, list []*Target) bool {
+	return slices.ContainsFunc(list, func(t *Target) bool { return t.usable(now) })
+}
+
 // cost estimates the time to the answer; false means that the target has no room for one more.
 func (p *Placer) cost(now time.Time, target *Target, t *Ticket, warm bool) (time.Duration, bool) {
 	work, queue := t.Cold, 0.0
@@ -280,6 +314,12 @@
 	}
 	slots := float64(target.Slots)
 	held := target.held(now)
+	if t.Priority > p.urgent {
+		queue = min(queue, lesserQueue)
+	}
+	if !t.onTime(now) {
+		queue = -lateGap
+	}
 	if held+1 > slots+queue && target.running >= target.Own {
 		return 0, false
 	}
--- /dev/null
+++ b/core/placer/replay_test.go
@@ -0,0 +1,329 @@
+package placer
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/messenger"
+)
+
+// replay is a small world in logical time: targets that work faster on objects they handled lately, several entry
+// instances a region, and callers whose load rises and falls, region after region.
+type replay struct {
+	random  *rand.Rand
+	now     time.Time
+	events  events
+	targets map[string]*worker
+	entries []*instance
+	kinds   []kind
+	// naive places with the emptier of two random targets, and serves in order of arrival.
+	naive bool
+	score map[string]*tally
+}
+
+type kind struct {
+	name     string
+	rate     float64
+	work     time.Duration
+	aim      time.Duration
+	deadline time.Duration
+	priority int32
+	objects  int
+}
+
+type tally struct{ asked, onTime, late, refused int }
+
+type worker struct {
+	spec    Spec
+	running int32
+	waiting []func()
+	warm    []string
+}
+
+type instance struct {
+	region string
+	placer *Placer
+}
+
+const (
+	workerQueue = 9
+	workerKeeps = 42
+	warmPart    = 0.3
+	farOneWay   = 35 * time.Millisecond
+	callerWay   = 8 * time.Millisecond
+)
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (r *replay) after(d time.Duration, do func()) { heap.Push(&r.events, event{r.now.Add(d), do}) }
+
+// newReplay builds a service of three regions whose targets are spread unevenly, as they are where the load is worst.
+func newReplay(seed uint64, naive bool, counts map[string]int, kinds []kind) *replay {
+	r := &replay{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), targets: map[string]*worker{},
+		kinds: kinds, naive: naive, score: map[string]*tally{},
+	}
+	var specs []Spec
+	for region, n := range counts {
+		for i := range n {
+			s := Spec{Name: fmt.Sprintf("%s-%d", region, i), Region: region, Zone: region, Slots: 3}
+			specs = append(specs, s)
+			r.targets[s.Name] = &worker{spec: s}
+		}
+	}
+	for region := range counts {
+		for range 3 {
+			p := &Placer{Region: region, Zone: region, Far: 2 * farOneWay}
+			p.Update(specs, 3*len(counts))
+			r.entries = append(r.entries, &instance{region, p})
+		}
+	}
+	for _, k := range kinds {
+		r.score[k.name] = &tally{}
+	}
+	return r
+}
+
+func (r *replay) run(span time.Duration, swing float64) {
+	start := r.now
+	for i, e := range r.entries {
+		phase := float64(i/3) / 3
+		for _, k := range r.kinds {
+			r.arrive(e, k, start, span, swing, phase)
+		}
+	}
+	for len(r.events) > 0 {
+		next := heap.Pop(&r.events).(event)
+		r.now = next.at
+		next.do()
+	}
+}
+
+func (r *replay) arrive(e *instance, k kind, start time.Time, span time.Duration, swing, phase float64) {
+	elapsed := r.now.Sub(start)
+	if elapsed > span {
+		return
+	}
+	wave := 1 + swing*math.Sin(2*math.Pi*(elapsed.Seconds()/36+phase))
+	rate := k.rate / float64(len(r.entries)) * wave
+	gap := time.Duration(r.random.ExpFloat64() / rate * float64(time.Second))
+	r.after(gap, func() {
+		r.offer(e, k)
+		r.arrive(e, k, start, span, swing, phase)
+	})
+}
+
+func (r *replay) offer(e *instance, k kind) {
+	r.score[k.name].asked++
+	arrived := r.now
+	t := &Ticket{
+		Key: fmt.Sprintf("%s/%d", k.name, r.random.IntN(k.objects)), Priority: k.priority,
+		Aim: arrived.Add(k.aim - 2*callerWay), Deadline: arrived.Add(k.deadline),
+		Warm: time.Duration(warmPart * float64(k.work)), Cold: k.work, Decided: make(chan Decision, 1),
+	}
+	done := func(target *Target) { r.send(e, k, t, target, arrived) }
+	if r.naive {
+		done(r.pickNaively(e))
+		return
+	}
+	decision, decided := e.placer.Offer(r.now, t)
+	if decided {
+		r.decided(k, decision, done)
+		return
+	}
+	r.await(e, k, t, done)
+}
+
+// await looks after a waiting ticket as the tick of an entry instance does.
+func (r *replay) await(e *instance, k kind, t *Ticket, done func(*Target)) {
+	r.after(10*time.Millisecond, func() {
+		e.placer.tell(r.now)
+		select {
+		case decision := <-t.Decided:
+			r.decided(k, decision, done)
+		default:
+			r.await(e, k, t, done)
+		}
+	})
+}
+
+func (p *Placer) tell(now time.Time) {
+	for _, placed := range p.Tick(now) {
+		placed.Ticket.Decided <- placed.Decision
+	}
+}
+
+func (r *replay) decided(k kind, d Decision, done func(*Target)) {
+	if d.Target == nil {
+		r.score[k.name].refused++
+		return
+	}
+	done(d.Target)
+}
+
+func (r *replay) pickNaively(e *instance) *Target {
+	a := e.placer.targets[r.random.IntN(len(e.placer.targets))]
+	b := e.placer.targets[r.random.IntN(len(e.placer.targets))]
+	if b.running < a.running {
+		a = b
+	}
+	a.start(r.now, "")
+	return a
+}
+
+func (r *replay) send(e *instance, k kind, t *Ticket, target *Target, arrived time.Time) {
+	w := r.targets[target.Name]
+	way := time.Duration(0)
+	if target.Region != e.region {
+		way = farOneWay
+	}
+	finish := func(load messenger.Load, ran bool) {
+		r.after(way, func() {
+			outcome := Outcome{Load: &load, Failed: !ran}
+			if ran {
+				outcome.Took = r.now.Sub(arrived)
+			}
+			for _, placed := range e.placer.Done(r.now, target, outcome) {
+				placed.Ticket.Decided <- placed.Decision
+			}
+			r.count(k, arrived, ran)
+		})
+	}
+	r.after(way, func() { w.take(r, k, t.Key, finish) })
+}
+
+func (r *replay) count(k kind, arrived time.Time, ran bool) {
+	took := r.now.Sub(arrived) + 2*callerWay
+	switch {
+	case !ran || took > k.deadline:
+		r.score[k.name].refused++
+	case took > k.aim:
+		r.score[k.name].late++
+	default:
+		r.score[k.name].onTime++
+	}
+}
+
+func (w *worker) take(r *replay, k kind, key string, finish func(messenger.Load, bool)) {
+	if w.running >= w.spec.Slots {
+		if len(w.waiting) >= workerQueue {
+			finish(w.load(), false)
+			return
+		}
+		w.waiting = append(w.waiting, func() { w.work(r, k, key, finish) })
+		return
+	}
+	w.work(r, k, key, finish)
+}
+
+func (w *worker) work(r *replay, k kind, key string, finish func(messenger.Load, bool)) {
+	w.running++
+	span := time.Duration(float64(k.work) * (1 + 0.15*r.random.NormFloat64()))
+	if w.touch(key) {
+		span = time.Duration(warmPart * float64(span))
+	}
+	r.after(max(time.Millisecond, span), func() {
+		load := w.load()
+		w.running--
+		finish(load, true)
+		if len(w.waiting) > 0 {
+			next := w.waiting[0]
+			w.waiting = w.waiting[1:]
+			next()
+		}
+	})
+}
+
+func (w *worker) load() messenger.Load {
+	return messenger.Load{Running: w.running, Waiting: int32(len(w.waiting)), Slots: w.spec.Slots}
+}
+
+// touch reports whether the object was warm, and makes it the newest.
+func (w *worker) touch(key string) bool {
+	for i, k := range w.warm {
+		if k == key {
+			w.warm = append(append(w.warm[:i:i], w.warm[i+1:]...), key)
+			return true
+		}
+	}
+	w.warm = append(w.warm, key)
+	if len(w.warm) > workerKeeps {
+		w.warm = w.warm[1:]
+	}
+	return false
+}
+
+func (t *tally) part(n int) float64 { return float64(n) / float64(max(1, t.asked)) }
+
+// eventNight is a service whose callers ask for a quarter more than its slots when nothing is warm, with a tenth of
+// the targets in a region that has a third of the callers.
+func eventNight() (map[string]int, []kind) {
+	counts := map[string]int{"one": 10, "two": 2, "three": 8}
+	return counts, []kind{
+		{"browse", 179, 240 * time.Millisecond, 250 * time.Millisecond, 1200 * time.Millisecond, 2, 44},
+		{"pay", 99, 312 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond, 1, 24},
+	}
+}
+
+// Callers peak region after region and ask for more than there would be slots for if nothing were warm. The naive
+// way, which looks at load alone, has half of the requests late; placed by object most are on time, and nearly none
+// is refused.
+func TestEventNight(t *testing.T) {
+	counts, kinds := eventNight()
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			naive := newReplay(seed, true, counts, kinds)
+			naive.run(30*time.Second, 0.55)
+			placed := newReplay(seed, false, counts, kinds)
+			placed.run(30*time.Second, 0.55)
+			for _, k := range kinds {
+				n, p := naive.score[k.name], placed.score[k.name]
+				t.Logf("%s: on time %.3f, naive %.3f; refused %.3f, naive %.3f", k.name,
+					p.part(p.onTime), n.part(n.onTime), p.part(p.refused), n.part(n.refused))
+				is.True(p.part(p.onTime) > 0.9)
+				is.True(p.part(p.onTime) > 1.5*n.part(n.onTime))
+				is.True(p.part(p.refused) < 0.02)
+			}
+		})
+	}
+}
+
+// Two and a half times as many callers come at once. Not all can be served; the more urgent kind must not be served
+// worse than the less urgent one, and slots must not go to runs that start cold or end late. Without the rules for
+// scarce slots, 0.41 of browse and 0.60 of pay are on time here.
+func TestRush(t *testing.T) {
+	counts, kinds := eventNight()
+	for i := range kinds {
+		kinds[i].rate *= 2.5
+	}
+	is := is.New(t)
+	r := newReplay(7, false, counts, kinds)
+	r.run(20*time.Second, 0.4)
+	browse, pay := r.score["browse"], r.score["pay"]
+	t.Logf("pay %+v browse %+v", *pay, *browse)
+	is.True(pay.part(pay.refused) <= browse.part(browse.refused))
+	is.True(pay.part(pay.onTime) > 0.85)
+	is.True(browse.part(browse.onTime) > 0.55)
+}
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -147,3 +147,39 @@
 		})
 	}
 }
+
+func placed(name string, incarnation, sequence uint64, address string, state wire.TargetState) *wire.Record {
+	return &wire.Record{
+		Name: name, Incarnation: incarnation, Sequence: sequence, Address: address, Service: "listings", Slots: 1, State: state,
+	}
+}
+
+// A target crashes, and its address goes to a target of another service. A heartbeat of the dead one was held up on its
+// way and arrives now. Taken, requests of its service would be sent to the new one.
+func TestAddressBelongsToWhoStartedLast(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var g Registrar
+	is.True(g.Merge(now, placed("old", 10, 1, "10.0.0.1:80", wire.TargetState_TARGET_READY)))
+	is.True(g.Merge(now, placed("new", 20, 1, "10.0.0.1:80", wire.TargetState_TARGET_READY)))
+	is.True(!g.Merge(now, placed("old", 10, 2, "10.0.0.1:80", wire.TargetState_TARGET_READY)))
+	old, _ := g.Get("old")
+	is.Equal(old.GetState(), wire.TargetState_TARGET_GONE)
+	is.Equal(len(g.Live(now, "listings")), 1)
+	is.True(g.Merge(now, placed("old", 30, 1, "10.0.0.2:80", wire.TargetState_TARGET_READY)))
+	is.Equal(len(g.Live(now, "listings")), 2)
+}
+
+// A target leaves without having said so before, and its last heartbeat arrives after that.
+func TestGoneIsFinalForAnIncarnation(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var g Registrar
+	is.True(g.Merge(now, placed("u", 10, 4, "10.0.0.1:80", wire.TargetState_TARGET_READY)))
+	is.True(g.Merge(now, placed("u", 10, 4, "10.0.0.1:80", wire.TargetState_TARGET_GONE)))
+	g.Merge(now, placed("u", 10, 5, "10.0.0.1:80", wire.TargetState_TARGET_READY))
+	got, _ := g.Get("u")
+	is.Equal(got.GetState(), wire.TargetState_TARGET_GONE)
+	is.True(g.Merge(now, placed("u", 11, 1, "10.0.0.1:80", wire.TargetState_TARGET_READY)))
+	is.Equal(len(g.Live(now, "listings")), 1)
+}
--- a/entry/internal/carrier/errors.go
+++ b/entry/internal/carrier/errors.go
@@ -6,7 +6,9 @@
 type CutError struct{ Running int64 }
 
 // Error implements error.
-func (e *CutError) Error() string { return fmt.Sprintf("%d requests were still in progress", e.Running) }
+func (e *CutError) Error() string {
+	return fmt.Sprintf("%d requests were still in progress", e.Running)
+}
 
 // StoppingError says that this instance is stopping.
 type StoppingError struct{}
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -48,8 +48,8 @@
 			Usage: "serve callers until told to stop",
 			Flags: []cli.Flag{
 				&cli.StringFlag{
-		Name: "config", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars("CHERVILRAIL_CONFIG"),
-	},
+					Name: "config", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars("CHERVILRAIL_CONFIG"),
+				},
 				&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 			},
 			Action: run,
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -28,7 +28,7 @@
 	// keepBody is the largest answer that is held back until it is whole.
 	keepBody = 8 << 20
 	// maxStrays is how many answers to other requests are skipped before a connection is given up.
-	maxStrays = 2
+	maxStrays  = 2
 	bufferSize = 4 << 10
 )
 
