--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// warmObjects is how many objects a target is expected to keep warm; targets forget those they handled longest
-	// ago, from about 35 on.
-	warmObjects = 30
 	// warmQueue is how many requests may wait at a target that has the object warm. It works three times as fast as
 	// any other, so a short wait there beats a free slot elsewhere. Less urgent kinds of the service leave the
 	// most urgent one a place in that queue. In the replayed event night with 2.5 times the callers, 0.91 of the
@@ -145,7 +142,7 @@
 	}
 	if p.ahead(now, t) == 0 {
 		if target := p.choose(now, t); target != nil {
-			target.start(now, t.Key)
+			target.start(now)
 			return Decision{Target: target}, true
 		}
 	}
@@ -235,7 +232,7 @@
 	var rest []*Ticket
 	for _, t := range p.queue {
 		if target := p.choose(now, t); target != nil {
-			target.start(now, t.Key)
+			target.start(now)
 			out = append(out, Placed{t, Decision{Target: target}})
 			continue
 		}
@@ -272,7 +269,7 @@
 		if !p.allowed(target, t) || !target.usable(now) {
 			continue
 		}
-		warm := t.Key != "" && (slices.Contains(favourites, target) || target.keys.has(t.Key))
+		warm := slices.Contains(favourites, target)
 		if scarce && !warm {
 			continue
 		}
@@ -295,7 +292,7 @@
 func (p *Placer) full(now time.Time) float64 {
 	held, slots := 0.0, 0.0
 	for _, t := range p.targets {
-		held += min(float64(t.Slots), t.held(now))
+		held += min(float64(t.Slots), t.held(now, p.usual()))
 		slots += float64(t.Slots)
 	}
 	return held / max(1, slots)
@@ -313,7 +310,7 @@
 		work, queue = t.Warm, warmQueue
 	}
 	slots := float64(target.Slots)
-	held := target.held(now)
+	held := target.held(now, p.usual())
 	if t.Priority > p.urgent {
 		queue = min(queue, lesserQueue)
 	}
@@ -378,8 +375,3 @@
 	_, _ = d.WriteString(name)
 	return d.Sum64()
 }
-
-// Warm reports whether a target is expected to have an object warm; ask before a request is sent.
-func (p *Placer) Warm(t *Target, key string) bool {
-	return key != "" && (slices.Contains(p.favoured(key), t) || t.keys.has(key))
-}
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -188,7 +188,7 @@
 	if b.running < a.running {
 		a = b
 	}
-	a.start(r.now, "")
+	a.start(r.now)
 	return a
 }
 
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// reportFade is the time in which what a target's report said of other instances' requests loses two thirds of
-	// its weight: a few service times, after which those requests have ended.
-	reportFade = 500 * time.Millisecond
+	// reportFade is in how many service times what a target's report said of other instances' requests loses two
+	// thirds of its weight; most of those requests have ended then.
+	reportFade = 1.5
 	// ejectFirst and ejectMost bound how long a target that can't be reached is left alone; each failure in a row
 	// doubles it.
 	ejectFirst = 250 * time.Millisecond
@@ -62,7 +62,6 @@
 	ejectUntil time.Time
 	// sent are the latest sends while it was cold.
 	sent []time.Time
-	keys recent
 }
 
 func newTarget() *Target { return &Target{pace: 1} }
@@ -87,9 +86,9 @@
 }
 
 // held estimates how many requests the target holds: this instance's for certain, and what others had there when it
-// last answered, which says less the older it is.
-func (t *Target) held(now time.Time) float64 {
-	return float64(t.running) + t.others*fade(now.Sub(t.othersAt), reportFade)
+// last answered, which says less the older it is; usual is the service time.
+func (t *Target) held(now time.Time, usual time.Duration) float64 {
+	return float64(t.running) + t.others*fade(now.Sub(t.othersAt), time.Duration(reportFade*float64(usual)))
 }
 
 func fade(age, span time.Duration) float64 { return math.Exp(-float64(age) / float64(span)) }
@@ -108,9 +107,8 @@
 // request that must not repeat gets no other.
 const badCost = 5
 
-func (t *Target) start(now time.Time, key string) {
+func (t *Target) start(now time.Time) {
 	t.running++
-	t.keys.touch(key)
 	if now.Before(t.ColdUntil) {
 		t.sent = append(t.recentSends(now), now)
 	}
@@ -148,35 +146,3 @@
 	t.bad *= weight
 	t.opinionAt = now
 }
-
-// recent remembers the objects that were sent to a target lately, newest last.
-type recent struct {
-	list []string
-}
-
-func (r *recent) has(key string) bool {
-	for _, k := range r.list {
-		if k == key {
-			return true
-		}
-	}
-	return false
-}
-
-func (r *recent) touch(key string) {
-	if key == "" {
-		return
-	}
-	for i, k := range r.list {
-		if k == key {
-			copy(r.list[i:], r.list[i+1:])
-			r.list[len(r.list)-1] = key
-			return
-		}
-	}
-	if len(r.list) >= warmObjects {
-		copy(r.list, r.list[1:])
-		r.list = r.list[:len(r.list)-1]
-	}
-	r.list = append(r.list, key)
-}
