Leaving of an unknown target is not acknowledged

Ruled out: entry instances that stay with a cut-off controller (they had moved 3 s before). Change: such a word is refused with 503 unless it names the target's run, which makes a gravestone.

--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -18,6 +18,10 @@
 	if err := registrar.CheckForm(r); err != nil {
 		return err
 	}
+	return x.take(ctx, r)
+}
+
+func (x *Exchanger) take(ctx context.Context, r *wire.Record) error {
 	var counter uint64
 	x.update(func(now time.Time) {
 		old, known := x.gossip.Target(r.GetName())
@@ -34,23 +38,26 @@
 	return x.bind(ctx, r.GetName(), counter)
 }
 
-// Leave takes a target's word that it ends. An incarnation of zero means the one known here.
+// Leave takes a target's word that it ends. An incarnation of zero means the one known here. Of a target that is not
+// known here nothing could be told to the others that would ward off its delayed announcements, unless it names its
+// incarnation; so the word is not taken, and the target asks elsewhere.
 func (x *Exchanger) Leave(ctx context.Context, name string, incarnation uint64) error {
 	x.mu.Lock()
 	record, known := x.gossip.Target(name)
 	x.mu.Unlock()
-	switch {
-	case !known && time.Since(x.started) < settleTime:
+	if !known && incarnation == 0 {
 		return &UnknownTargetError{Target: name}
-	case !known || incarnation != 0 && incarnation < record.GetIncarnation():
+	}
+	if known && incarnation != 0 && incarnation < record.GetIncarnation() {
 		return nil
 	}
-	gone := proto.CloneOf(record)
-	gone.State = wire.TargetState_TARGET_GONE
-	if incarnation > gone.GetIncarnation() {
-		gone.Incarnation = incarnation
+	gone := &wire.Record{Name: name}
+	if known {
+		gone = proto.CloneOf(record)
 	}
-	return x.Announce(ctx, gone)
+	gone.State = wire.TargetState_TARGET_GONE
+	gone.Incarnation = max(gone.GetIncarnation(), incarnation)
+	return x.take(ctx, gone)
 }
 
 // bind waits until most voters hold a change.
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -29,9 +29,7 @@
 	watchHold = time.Second
 	// bindTimeout is how long a leaving target waits for most controllers; it asks elsewhere after a second.
 	bindTimeout = 900 * time.Millisecond
-	// settleTime is how long a started controller may not know targets that others know.
-	settleTime = 5 * time.Second
-	tickEvery  = 200 * time.Millisecond
+	tickEvery   = 200 * time.Millisecond
 )
 
 // Mind gives the replicated routing state.
@@ -46,11 +44,10 @@
 	Dialer *dialer.Dialer
 	Logger log.Logger
 
-	mu      sync.Mutex
-	gossip  gossiper.Gossiper
-	news    chan struct{}
-	peers   map[string]*link
-	started time.Time
+	mu     sync.Mutex
+	gossip gossiper.Gossiper
+	news   chan struct{}
+	peers  map[string]*link
 
 	client *http.Client
 	ctx    context.Context
@@ -74,7 +71,6 @@
 		return err
 	}
 	x.client = client
-	x.started = time.Now()
 	x.gossip.Self = x.Self
 	x.gossip.Run = rand.Uint64() | 1
 	x.news = make(chan struct{})
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -108,6 +108,9 @@
 // otherwise bring requests of its service to the present one; without this, that shows as refusals of targets that
 // were asked for another's work.
 func (g *Registrar) takePlace(r *wire.Record) bool {
+	if r.GetAddress() == "" {
+		return true
+	}
 	if g.places == nil {
 		g.places = map[string]string{}
 	}
