--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -48,6 +48,8 @@
 	gossip gossiper.Gossiper
 	news   chan struct{}
 	peers  map[string]*link
+	// wasLinked is what watchers were last told.
+	wasLinked bool
 
 	client *http.Client
 	ctx    context.Context
@@ -119,6 +121,7 @@
 	for {
 		x.follow()
 		x.update(func(now time.Time) { x.gossip.Tick(now) })
+		x.noticeLink(time.Now())
 		select {
 		case <-x.ctx.Done():
 			return
@@ -127,6 +130,20 @@
 	}
 }
 
+// noticeLink wakes the watchers when this controller loses touch with most of the others, so that they turn to another
+// one at once: what is decided there meanwhile, such as that a target leaves, binds them.
+func (x *Exchanger) noticeLink(now time.Time) {
+	linked := x.linked(now)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if linked == x.wasLinked {
+		return
+	}
+	x.wasLinked = linked
+	_ = level.Warn(x.Logger).Log("msg", "link to most controllers", "linked", linked)
+	x.wake()
+}
+
 // update changes the picture and tells watchers and peers if that made news.
 func (x *Exchanger) update(change func(now time.Time)) {
 	x.mu.Lock()
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -21,8 +21,9 @@
 const (
 	// Period is how often controllers exchange when nothing changes.
 	Period = 400 * time.Millisecond
-	// linkLife is how long an answered exchange shows that a controller is reachable: three periods and a round trip.
-	linkLife = 1500 * time.Millisecond
+	// linkLife is how long an answered exchange shows that a controller is reachable: two periods and two round trips.
+	// An entry instance has to hear of a leaving target within 2.5 s, and turns away from a cut-off controller first.
+	linkLife = 1100 * time.Millisecond
 	// repairAfter is how long two controllers may differ before one sends the other everything. News reaches all
 	// within a round trip; what differs for longer was lost with the controller that told it.
 	repairAfter = 700 * time.Millisecond
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -29,6 +29,8 @@
 	// lateGap is how much of a slot must be left beside a request that can't be on time any more, so that one that
 	// can finds room.
 	lateGap = 0.5
+	// brokenPace: a target that takes this many times as long as usual is broken, not busy.
+	brokenPace = 3
 	// scarceFrom: from this part of taken slots on, requests wait for targets that have their objects warm and start
 	// none cold, which would take the time of three others. In the replayed event night with 2.5 times the callers,
 	// 0.70 are on time instead of 0.41.
@@ -107,30 +109,39 @@
 	share float64
 	// urgent is the most urgent priority seen since the control state last changed.
 	urgent int32
+	spread spread
 	// favourites holds, by object, the target of each region that is to keep it warm.
 	favourites map[string][]*Target
 }
 
 // Update follows the control state; entries is how many entry instances share the targets. Targets that stay keep
 // what is known of them.
-func (p *Placer) Update(specs []Spec, entries int) {
+func (p *Placer) Update(now time.Time, specs []Spec, entries int) {
 	old := p.byName
 	p.byName = map[string]*Target{}
 	p.targets = nil
 	p.favourites = map[string][]*Target{}
-	slots := int32(0)
+	slots := 0.0
+	regions := map[string]float64{}
+	changed := len(specs) != len(old)
 	for _, s := range specs {
 		t, ok := old[s.Name]
 		if !ok || t.Incarnation != s.Incarnation {
 			t = newTarget()
+			changed = true
 		}
 		t.Spec = s
 		p.byName[s.Name] = t
 		p.targets = append(p.targets, t)
-		slots += s.Slots
+		slots += float64(s.Slots)
+		regions[s.Region] += float64(s.Slots)
 	}
 	p.urgent = math.MaxInt32
-	p.share = float64(slots) / float64(max(1, entries))
+	p.share = slots / float64(max(1, entries))
+	p.spread.follow(p.Region, regions)
+	if changed {
+		p.spread.disturb(now)
+	}
 }
 
 // Offer places a ticket at once, lets it wait, or refuses it; waiting is reported by false.
@@ -141,8 +152,7 @@
 		return Decision{Retry: now.Add(time.Second), Reason: "targets"}, true
 	}
 	if p.ahead(now, t) == 0 {
-		if target := p.choose(now, t); target != nil {
-			target.start(now)
+		if target := p.place(now, t); target != nil {
 			return Decision{Target: target}, true
 		}
 	}
@@ -210,6 +220,9 @@
 // Done ends a request at a target and returns what is decided in turn.
 func (p *Placer) Done(now time.Time, t *Target, o Outcome) []Placed {
 	t.end(now, o)
+	if o.Unreachable || t.pace > brokenPace {
+		p.spread.disturb(now)
+	}
 	if o.Took > 0 {
 		p.work += (o.Took - p.work) / smoothing
 	}
@@ -231,8 +244,7 @@
 	var out []Placed
 	var rest []*Ticket
 	for _, t := range p.queue {
-		if target := p.choose(now, t); target != nil {
-			target.start(now)
+		if target := p.place(now, t); target != nil {
 			out = append(out, Placed{t, Decision{Target: target}})
 			continue
 		}
@@ -259,25 +271,41 @@
 // Waiting returns how many tickets wait.
 func (p *Placer) Waiting() int { return len(p.queue) }
 
-// choose returns the target where the request is expected to be done first, or nil if none has room.
+// place takes a slot for a request, or returns nil if no target has room for it.
+func (p *Placer) place(now time.Time, t *Ticket) *Target {
+	target := p.choose(now, t)
+	if target != nil {
+		target.start(now)
+		p.spread.sent(target.Region)
+	}
+	return target
+}
+
+// choose returns the target where the request is expected to be done first, of those in regions that may get one more.
 func (p *Placer) choose(now time.Time, t *Ticket) *Target {
 	favourites := p.favoured(t.Key)
 	scarce := p.full(now) > scarceFrom && anyUsable(now, favourites)
-	var best *Target
-	var least time.Duration
+	var best, wished *Target
+	var least, leastWished time.Duration
 	for _, target := range p.targets {
-		if !p.allowed(target, t) || !target.usable(now) {
-			continue
-		}
 		warm := slices.Contains(favourites, target)
-		if scarce && !warm {
+		if !p.allowed(target, t) || !target.usable(now) || scarce && !warm {
 			continue
 		}
 		cost, ok := p.cost(now, target, t, warm)
-		if ok && (best == nil || cost < least) {
+		if !ok {
+			continue
+		}
+		if wished == nil || cost < leastWished {
+			wished, leastWished = target, cost
+		}
+		if (best == nil || cost < least) && p.spread.allows(now, target.Region) {
 			best, least = target, cost
 		}
 	}
+	if wished != nil {
+		p.spread.want(now, wished.Region)
+	}
 	return best
 }
 
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -25,6 +25,54 @@
 	// naive places with the emptier of two random targets, and serves in order of arrival.
 	naive bool
 	score map[string]*tally
+	start time.Time
+	// flows counts requests by two seconds, the region they came from and the region they ran in.
+	flows map[int]map[string]map[string]int
+	bad   map[int]int
+}
+
+// ran notes where a request runs.
+func (r *replay) ran(from, to string) {
+	window := int(r.now.Sub(r.start) / shiftWindow)
+	if r.flows[window] == nil {
+		r.flows[window] = map[string]map[string]int{}
+	}
+	if r.flows[window][from] == nil {
+		r.flows[window][from] = map[string]int{}
+	}
+	r.flows[window][from][to]++
+}
+
+const shiftWindow = 2 * time.Second
+
+// worstShift is the largest part of one region's requests that changed the region they ran in, from one window to
+// the next.
+func (r *replay) worstShift() float64 {
+	worst := 0.0
+	for window, flows := range r.flows {
+		for from, now := range flows {
+			worst = max(worst, moved(r.flows[window+1][from], now))
+		}
+	}
+	return worst
+}
+
+func moved(next, now map[string]int) float64 {
+	a, b := 0, 0
+	for _, n := range now {
+		a += n
+	}
+	for _, n := range next {
+		b += n
+	}
+	if a < 50 || b < 50 {
+		return 0
+	}
+	out := 0.0
+	for region, n := range next {
+		out += max(0, float64(n)/float64(b)-float64(now[region])/float64(a))
+	}
+	return out
 }
 
 type kind struct {
@@ -82,8 +130,9 @@
 func newReplay(seed uint64, naive bool, counts map[string]int, kinds []kind) *replay {
 	r := &replay{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), targets: map[string]*worker{},
-		kinds: kinds, naive: naive, score: map[string]*tally{},
+		kinds: kinds, naive: naive, score: map[string]*tally{}, flows: map[int]map[string]map[string]int{}, bad: map[int]int{},
 	}
+	r.start = r.now
 	var specs []Spec
 	for region, n := range counts {
 		for i := range n {
@@ -95,7 +144,7 @@
 	for region := range counts {
 		for range 3 {
 			p := &Placer{Region: region, Zone: region, Far: 2 * farOneWay}
-			p.Update(specs, 3*len(counts))
+			p.Update(r.now.Add(-time.Minute), specs, 3*len(counts))
 			r.entries = append(r.entries, &instance{region, p})
 		}
 	}
@@ -177,6 +226,7 @@
 func (r *replay) decided(k kind, d Decision, done func(*Target)) {
 	if d.Target == nil {
 		r.score[k.name].refused++
+		r.bad[int(r.now.Sub(r.start)/shiftWindow)]++
 		return
 	}
 	done(d.Target)
@@ -194,6 +244,7 @@
 
 func (r *replay) send(e *instance, k kind, t *Ticket, target *Target, arrived time.Time) {
 	w := r.targets[target.Name]
+	r.ran(e.region, target.Region)
 	way := time.Duration(0)
 	if target.Region != e.region {
 		way = farOneWay
@@ -298,6 +349,7 @@
 			naive.run(30*time.Second, 0.55)
 			placed := newReplay(seed, false, counts, kinds)
 			placed.run(30*time.Second, 0.55)
+			t.Logf("worst shift %.3f", placed.worstShift())
 			for _, k := range kinds {
 				n, p := naive.score[k.name], placed.score[k.name]
 				t.Logf("%s: on time %.3f, naive %.3f; refused %.3f, naive %.3f", k.name,
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -26,7 +26,7 @@
 func (g *gate) follow(now time.Time, specs []placer.Spec, entries int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.place.Update(specs, entries)
+	g.place.Update(now, specs, entries)
 	announce(g.place.Tick(now))
 }
 
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -28,7 +28,10 @@
 	// callTimeout is the second that a controller holds a call without news, and a round trip with one loss.
 	callTimeout = 2200 * time.Millisecond
 	// pause is waited after a controller failed or lost touch with the others.
-	pause = 100 * time.Millisecond
+	pause = 50 * time.Millisecond
+	// shun is how long such a controller is not asked again while there are others: about as long as a lost link
+	// takes to show.
+	shun = 2 * time.Second
 	// byeTimeout bounds the last call, by which a stopping instance says that it leaves.
 	byeTimeout = 500 * time.Millisecond
 )
@@ -70,6 +73,8 @@
 	cold        map[string]time.Time
 	nodes       []*wire.Node
 	failing     bool
+	// shunned holds until when a controller that failed is left alone.
+	shunned map[netip.AddrPort]time.Time
 }
 
 // Name implements kernel.Service.
@@ -84,6 +89,7 @@
 	w.client = client
 	w.Node.Incarnation = rand.Uint64()
 	w.state.cold = map[string]time.Time{}
+	w.state.shunned = map[netip.AddrPort]time.Time{}
 	w.state.controllers = slices.Clone(w.Seeds)
 	w.done = make(chan struct{})
 	w.ctx, w.cancel = context.WithCancel(context.Background())
@@ -228,8 +234,10 @@
 // instance was cut off. What the next one knows is counted anew.
 func (w *Watcher) move() {
 	s := &w.state
+	now := time.Now()
+	s.shunned[s.at] = now.Add(shun)
 	all := append(slices.Clone(s.controllers), w.seeds()...)
-	others := slices.DeleteFunc(slices.Clone(all), func(a netip.AddrPort) bool { return a == s.at })
+	others := slices.DeleteFunc(slices.Clone(all), func(a netip.AddrPort) bool { return now.Before(s.shunned[a]) })
 	if len(others) == 0 {
 		others = all
 	}
