Objects a region can keep are bounded; favourites in a file of their own

Cause: with half of a region's targets gone, each was given more objects than it keeps (35), and so kept none.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -14,8 +14,6 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chervilrail.example/core/messenger"
 )
 
@@ -44,8 +42,6 @@
 	firstWork = 200 * time.Millisecond
 	// minRetry is the shortest time after which a refused caller is asked back.
 	minRetry = 50 * time.Millisecond
-	// maxFavourites bounds the remembered choices; a plan's routes and their objects come to a few hundred.
-	maxFavourites = 16384
 )
 
 // Ticket is one request that wants a target. Set the exported fields, then Offer it.
@@ -108,10 +104,9 @@
 	// share is how many slots there are for each entry instance.
 	share float64
 	// urgent is the most urgent priority seen since the control state last changed.
-	urgent int32
-	spread spread
-	// favourites holds, by object, the target of each region that is to keep it warm.
-	favourites map[string][]*Target
+	urgent     int32
+	spread     spread
+	favourites favourites
 }
 
 // Update follows the control state; entries is how many entry instances share the targets. Targets that stay keep
@@ -120,7 +115,6 @@
 	old := p.byName
 	p.byName = map[string]*Target{}
 	p.targets = nil
-	p.favourites = map[string][]*Target{}
 	slots := 0.0
 	regions := map[string]float64{}
 	changed := len(specs) != len(old)
@@ -136,6 +130,7 @@
 		slots += float64(s.Slots)
 		regions[s.Region] += float64(s.Slots)
 	}
+	p.favourites.reset(p.targets)
 	p.urgent = math.MaxInt32
 	p.share = slots / float64(max(1, entries))
 	p.spread.follow(p.Region, regions)
@@ -283,7 +278,7 @@
 
 // choose returns the target where the request is expected to be done first, of those in regions that may get one more.
 func (p *Placer) choose(now time.Time, t *Ticket) *Target {
-	favourites := p.favoured(t.Key)
+	favourites := p.favourites.of(now, t.Key)
 	scarce := p.full(now) > scarceFrom && anyUsable(now, favourites)
 	var best, wished *Target
 	var least, leastWished time.Duration
@@ -366,40 +361,3 @@
 	// emptier is what a full target costs over an empty one, where both have room.
 	emptier = 10 * time.Millisecond
 )
-
-// favoured returns the target of each region that is to keep an object warm. Every entry instance computes the same
-// ones, so an object is warm there whichever instance its last request came by.
-func (p *Placer) favoured(key string) []*Target {
-	if key == "" {
-		return nil
-	}
-	if found, ok := p.favourites[key]; ok {
-		return found
-	}
-	first := map[string]*Target{}
-	for _, t := range p.targets {
-		if f, ok := first[t.Region]; !ok || weight(key, t.Name) > weight(key, f.Name) {
-			first[t.Region] = t
-		}
-	}
-	var out []*Target
-	for _, t := range p.targets {
-		if first[t.Region] == t {
-			out = append(out, t)
-		}
-	}
-	if len(p.favourites) >= maxFavourites {
-		p.favourites = map[string][]*Target{}
-	}
-	p.favourites[key] = out
-	return out
-}
-
-func weight(key, name string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(name)
-	return d.Sum64()
-}
