--- a/core/placer/spread.go
+++ b/core/placer/spread.go
@@ -9,12 +9,14 @@
 	// moveRate is how much of its requests an entry instance moves between regions in a second while nothing is
 	// broken. Twice that in two seconds stays under the 15% that links between regions are planned for, with room
 	// for chance.
-	moveRate = 0.07
+	moveRate = 0.055
 	// homeRate is the same for requests that come back to the home region. They wait there no less, so nothing is lost
 	// by staying away, while the next peak of the home region is met by shares that can take it.
 	homeRate = 0.03
-	// burst is how many requests a region may be ahead of its share.
-	burst = 8
+	// playPart is how far a region may be ahead of its share, as a part of two seconds' requests; minPlay is the least,
+	// in requests.
+	playPart = 0.04
+	minPlay  = 2
 	// wishParts is the weight of the newest choice in the smoothed wish: a fiftieth, about a second of requests.
 	wishParts = 50
 	// disturbance is how long a failure or a change of targets lets requests move at once: capacity was lost or
@@ -34,6 +36,8 @@
 	owed   map[string]float64
 	at     time.Time
 	free   time.Time
+	// rate is the smoothed number of requests a second.
+	rate float64
 }
 
 // follow takes a changed set of targets; slots holds how many each region has.
@@ -100,7 +104,7 @@
 
 // allows reports whether one more request may go to a region.
 func (s *spread) allows(now time.Time, region string) bool {
-	return now.Before(s.free) || s.owed[region] > 1-burst
+	return now.Before(s.free) || s.owed[region] > 1-max(minPlay, playPart*2*s.rate)
 }
 
 // want notes where the load alone would send a request, and moves the shares a little towards that.
@@ -114,6 +118,7 @@
 	}
 	elapsed := now.Sub(s.at)
 	s.at = now
+	s.count(elapsed)
 	if now.Before(s.free) {
 		for _, r := range s.regions {
 			s.shares[r], s.owed[r] = s.wish[r], 0
@@ -127,6 +132,19 @@
 	s.step(rate * min(1, max(0, elapsed.Seconds())))
 }
 
+// count follows the rate of requests from the time between two.
+func (s *spread) count(elapsed time.Duration) {
+	if elapsed <= 0 || elapsed > time.Second {
+		return
+	}
+	gap := 1.0
+	if s.rate > 0 {
+		gap = 1 / s.rate
+	}
+	gap += (elapsed.Seconds() - gap) / wishParts
+	s.rate = 1 / gap
+}
+
 // step moves the shares towards the wish, by at most a part of all requests.
 func (s *spread) step(most float64) {
 	apart := 0.0
