--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// Confirmed is from how many different dead targets a request counts as the cause.
+	// Confirmed is from how many different dead targets a request counts as the cause, unless set otherwise.
 	Confirmed = 2
 	// Sentence is how long a confirmed request is refused.
 	Sentence = 5 * time.Minute
@@ -30,6 +30,9 @@
 
 // Quarantiner holds the suspicions. Its zero value holds none.
 type Quarantiner struct {
+	// Confirm is from how many different dead targets a request counts as the cause; zero means Confirmed.
+	Confirm int
+
 	mu    sync.Mutex
 	cases map[Fingerprint]*suspicion
 	// good and older hold what succeeded lately, in two generations that replace each other.
@@ -69,12 +72,30 @@
 		return false
 	}
 	s.runs[run] = now.Add(memory)
-	if q.recent(now, s) >= Confirmed {
+	if q.recent(now, s) >= q.confirm() {
 		s.until = now.Add(Sentence)
 	}
 	return true
 }
 
+func (q *Quarantiner) confirm() int {
+	if q.Confirm > 0 {
+		return q.Confirm
+	}
+	return Confirmed
+}
+
+// Losses returns how many targets died lately while the request was in flight there.
+func (q *Quarantiner) Losses(now time.Time, f Fingerprint) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s, ok := q.cases[f]
+	if !ok {
+		return 0
+	}
+	return q.recent(now, s)
+}
+
 // Succeed clears a suspicion: a request that kills what runs it never succeeds, while one that only
 // shared a dead target soon does. It reports whether there was anything to clear.
 func (q *Quarantiner) Succeed(now time.Time, f Fingerprint) bool {
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -77,6 +78,10 @@
 	return j.route.GetName() + "/" + j.call.Key
 }
 
+// retriedLosses is how many targets may have died under a request that is still sent to another one. One death is
+// mostly not the request's doing, and its caller would lose an answer that the next target has ready.
+const retriedLosses = 1
+
 // again decides whether a request is sent once more. What may have run is repeated only if it is idempotent; what
 // reached a target is paid for, for all instances together may repeat only a part of their requests.
 func (c *Carrier) again(j *job, g *gate, end ending) bool {
@@ -88,7 +93,7 @@
 	case unsent:
 		return true
 	case unknown:
-		if !j.route.GetIdempotent() || c.Quarantine.Suspect(now, j.fingerprint) {
+		if !j.route.GetIdempotent() || c.Quarantine.Losses(now, j.fingerprint) > retriedLosses {
 			return false
 		}
 	case unrun, answered:
@@ -120,7 +125,7 @@
 		outcome.Usual = c.routes.usual(j.route, outcome.Took)
 		outcome.Failed = answer.Status >= http.StatusInternalServerError
 		c.routes.worked(j.route, outcome.Took)
-		c.Quarantine.Succeed(start, j.fingerprint)
+		c.clear(start, j)
 	}
 	if err != nil {
 		outcome.Unreachable = ctx.Err() == nil
@@ -205,6 +210,13 @@
 	return false
 }
 
+// clear takes a request that succeeded off all instances' lists of suspects.
+func (c *Carrier) clear(now time.Time, j *job) {
+	if c.Quarantine.Succeed(now, j.fingerprint) {
+		c.Views.Report(&wire.Loss{Fingerprint: j.fingerprint[:], Success: true, Incarnation: rand.Uint64()})
+	}
+}
+
 // noteLoss remembers what a broken attempt tells of its target, and of its request.
 func (c *Carrier) noteLoss(j *job, t *placer.Target, how pooler.Ending, err error, late bool) {
 	_ = level.Info(c.Logger).Log("msg", "attempt failed", "id", j.call.ID, "target", t.Name, "sent", how != pooler.Unsent,
--- a/entry/internal/cli/routed.go
+++ b/entry/internal/cli/routed.go
@@ -30,6 +30,10 @@
 // for stacks, buffers of the kernel and what is freed late.
 const memoryParts = 0.6
 
+// confirmedLosses is how many targets have to die under a request before it is kept out. Targets break off answers for
+// other reasons, too, and a popular request is in flight at many of them.
+const confirmedLosses = 3
+
 // routed holds the parts of an entry instance that routes by a plan while they are put together.
 type routed struct {
 	settings *config.Config
@@ -46,7 +50,7 @@
 	p.logger = logger.New(os.Stdout, logger.Options{
 		Format: settings.LogFormat, Level: settings.LogLevel, Program: "entry", Instance: settings.Name,
 	})
-	quarantine := &quarantiner.Quarantiner{}
+	quarantine := &quarantiner.Quarantiner{Confirm: confirmedLosses}
 	p.watcher = &watcher.Watcher{
 		Node: &wire.Node{
 			Name: settings.Name, Caller: settings.Caller.String(), Region: settings.Region, Zone: settings.Zone,
@@ -71,6 +75,10 @@
 	for _, l := range reports {
 		var f quarantiner.Fingerprint
 		copy(f[:], l.GetFingerprint())
+		if l.GetSuccess() {
+			q.Succeed(now, f)
+			continue
+		}
 		q.Lose(now, f, quarantiner.Run{Target: l.GetTarget(), Incarnation: l.GetIncarnation()})
 	}
 }
--- /dev/null
+++ b/entry/internal/watcher/watcher_test.go
@@ -0,0 +1,192 @@
+package watcher
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/dialer"
+	"chervilrail.example/core/wire"
+	"chervilrail.example/core/wire/wireconnect"
+)
+
+// controller answers each call with what the test set last.
+type controller struct {
+	wireconnect.UnimplementedExchangeHandler
+
+	mu     sync.Mutex
+	answer *wire.WatchResponse
+	asked  []*wire.WatchRequest
+}
+
+func (c *controller) Watch(
+	_ context.Context, r *connect.Request[wire.WatchRequest],
+) (*connect.Response[wire.WatchResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = append(c.asked, r.Msg)
+	time.Sleep(5 * time.Millisecond)
+	return connect.NewResponse(c.answer), nil
+}
+
+func (c *controller) set(answer *wire.WatchResponse) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer = answer
+}
+
+func (c *controller) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.asked)
+}
+
+func serve(t *testing.T, answer *wire.WatchResponse) (*controller, netip.AddrPort) {
+	t.Helper()
+	c := &controller{answer: answer}
+	_, handler := wireconnect.NewExchangeHandler(c)
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	return c, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func begin(t *testing.T, seeds ...netip.AddrPort) *Watcher {
+	t.Helper()
+	w := &Watcher{
+		Node: &wire.Node{Name: "e1", Region: "r", Zone: "z"}, Seeds: seeds, Dialer: &dialer.Dialer{Plain: true},
+		Logger: log.NewNopLogger(), Changed: func(*View) {}, Losses: func([]*wire.Loss) {},
+	}
+	is.New(t).NoErr(w.Start(context.Background(), nil))
+	t.Cleanup(func() { is.New(t).NoErr(w.Stop(context.Background())) })
+	return w
+}
+
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 400 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("never came true")
+}
+
+func answer(revision, version uint64, linked bool, records ...*wire.Record) *wire.WatchResponse {
+	return &wire.WatchResponse{
+		Run: 1, Counter: revision, Linked: linked, Revision: revision, Records: records,
+		Plan: &wire.Plan{Version: version, Services: []*wire.Service{{Name: "listings"}}},
+	}
+}
+
+func target(sequence uint64, state wire.TargetState) *wire.Record {
+	return &wire.Record{
+		Name: "t1", Incarnation: 1, Sequence: sequence, Service: "listings", Address: "10.0.0.1:80", Region: "r", Zone: "z",
+		Slots: 3, State: state,
+	}
+}
+
+func version(w *Watcher) uint64 {
+	if v := w.View(); v != nil {
+		return v.Table.Plan.GetVersion()
+	}
+	return 0
+}
+
+// The controller that this instance turns to lags behind the last one, or came back with an old disk. Followed, a
+// change that was accepted and in force would revert here.
+func TestOlderStateIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	c, address := serve(t, answer(5, 3, true))
+	w := begin(t, address)
+	until(t, func() bool { return version(w) == 3 })
+	c.set(answer(4, 2, true))
+	at := c.count()
+	until(t, func() bool { return c.count() > at+3 })
+	is.Equal(version(w), uint64(3))
+	c.set(answer(6, 4, true))
+	until(t, func() bool { return version(w) == 4 })
+}
+
+// An instance starts while its first controller is cut off. That one's plan may be an old one, so none is taken, and
+// callers are told that nothing is known yet.
+func TestFirstPlanNeedsAControllerInTouch(t *testing.T) {
+	is := is.New(t)
+	c, address := serve(t, answer(5, 3, false))
+	w := begin(t, address)
+	until(t, func() bool { return c.count() > 2 })
+	is.True(w.View() == nil)
+	c.set(answer(5, 3, true))
+	until(t, func() bool { return version(w) == 3 })
+}
+
+// A target has left, and all controllers restart and forget it. Its delayed announcement reaches them now; this
+// instance still knows better.
+func TestGravestonesOutliveTheControllers(t *testing.T) {
+	is := is.New(t)
+	c, address := serve(t, answer(5, 3, true, target(1, wire.TargetState_TARGET_READY)))
+	w := begin(t, address)
+	until(t, func() bool { return w.View() != nil && len(w.View().Targets["listings"]) == 1 })
+	c.set(answer(5, 3, true, target(4, wire.TargetState_TARGET_GONE)))
+	until(t, func() bool { return len(w.View().Targets["listings"]) == 0 })
+	late := answer(5, 3, true, target(2, wire.TargetState_TARGET_READY))
+	late.Run = 2
+	c.set(late)
+	at := c.count()
+	until(t, func() bool { return c.count() > at+3 })
+	is.Equal(len(w.View().Targets["listings"]), 0)
+}
+
+// The controller loses touch with the others. The instance turns to one that has not.
+func TestCutOffControllerIsLeft(t *testing.T) {
+	is := is.New(t)
+	cut, first := serve(t, answer(5, 3, false))
+	good, second := serve(t, answer(6, 4, true))
+	w := begin(t, first, second)
+	until(t, func() bool { return version(w) == 4 })
+	until(t, func() bool { return good.count() > 20 })
+	is.True(cut.count() < 3)
+}
+
+// Controllers fail altogether. Traffic goes on with the last view.
+func TestViewOutlivesTheControllers(t *testing.T) {
+	is := is.New(t)
+	c := &controller{answer: answer(5, 3, true, target(1, wire.TargetState_TARGET_READY))}
+	_, handler := wireconnect.NewExchangeHandler(c)
+	s := httptest.NewServer(handler)
+	w := begin(t, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")))
+	until(t, func() bool { return w.View() != nil })
+	s.CloseClientConnections()
+	s.Close()
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(len(w.View().Targets["listings"]), 1)
+	is.NoErr(w.Health())
+}
+
+// A zone was empty for a while and takes requests again. Its targets' caches are cold, and a rush would crash them:
+// only one instance sends to each at first, at a bounded rate.
+func TestReturnedZoneIsCold(t *testing.T) {
+	is := is.New(t)
+	full := answer(5, 3, true, target(1, wire.TargetState_TARGET_READY))
+	full.Plan.Services[0].Cold = int64(time.Minute)
+	full.Plan.Services[0].Rate = 8
+	full.Evacuated = []string{"z"}
+	c, address := serve(t, full)
+	w := begin(t, address)
+	until(t, func() bool { return w.View() != nil })
+	is.Equal(len(w.View().Targets["listings"]), 0)
+	c.set(&wire.WatchResponse{Run: 1, Counter: 6, Linked: true, Revision: 6})
+	until(t, func() bool { return len(w.View().Targets["listings"]) == 1 })
+	spec := w.View().Targets["listings"][0]
+	is.True(time.Until(spec.ColdUntil) > 50*time.Second)
+	is.Equal(spec.Rate, 8.0)
+	is.Equal(spec.Own, int32(3))
+}
