--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core controller entry railctl standin
+MODULES := core platform controller entry railctl standin
 PROGRAMS := controller entry railctl standin
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
--- a/controller/internal/changer/changer.go
+++ b/controller/internal/changer/changer.go
@@ -41,8 +41,9 @@
 // may not come into force, and its sender asks again.
 func (c *Changer) Change(ctx context.Context, change *wire.PlanChange) (*wire.PlanVerdict, error) {
 	if change.GetPatch() == nil {
-		if err := planner.Check(change.GetPlan()); err != nil {
-			return &wire.PlanVerdict{Outcome: wire.PlanOutcome_PLAN_INVALID, Reason: err.Error()}, nil
+		if fault := planner.Check(change.GetPlan()); fault != nil {
+			// A plan that can't be put in force needs no place in the log to be refused.
+			return invalid(fault), nil
 		}
 	}
 	result, err := c.run(ctx, "change", &wire.Command{Plan: change})
@@ -52,6 +53,10 @@
 	return result.GetPlan(), nil
 }
 
+func invalid(fault error) *wire.PlanVerdict {
+	return &wire.PlanVerdict{Outcome: wire.PlanOutcome_PLAN_INVALID, Reason: fault.Error()}
+}
+
 // Read returns the newest routing plan for certain, or nil before the first. A leader that was suspended or cut off
 // can't tell by its own clock whether it still leads, so each read takes a place in the log.
 func (c *Changer) Read(ctx context.Context) (*wire.Plan, error) {
--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -136,10 +136,7 @@
 
 func assemble(settings *config.Config) *kernel.Kernel {
 	logs := logger.New(logsOut, logger.Options{
-		Format:   settings.LogFormat,
-		Level:    settings.LogLevel,
-		Program:  "controller",
-		Instance: settings.Name,
+		Format: settings.LogFormat, Level: settings.LogLevel, Program: "controller", Instance: settings.Name,
 	})
 	fatal := make(chan error, 1)
 	controlKeys := &securer.Keys{Files: settings.ControlKeys}
@@ -186,14 +183,20 @@
 			Logger:  logs,
 		},
 	}
-	face := &translator.Operator{
+	k.Services = append(k.Services, faces(settings, &translator.Operator{
 		Changer: change, Register: exchange, Steerer: &steerer.Steerer{Sightings: exchange},
 		Regions: settings.Regions, Logger: logs,
-	}
+	})...)
+	return k
+}
+
+// faces are the listeners that speak the users' platform's language, where the settings name any.
+func faces(settings *config.Config, face *translator.Operator) []kernel.Service {
+	var out []kernel.Service
 	for title, address := range map[string]netip.AddrPort{"callers": settings.Callers, "directory": settings.Directory} {
 		if address.IsValid() {
-			k.Services = append(k.Services, &listener.Listener{Title: title, Address: address, Handler: face, Logger: logs})
+			out = append(out, &listener.Listener{Title: title, Address: address, Handler: face, Logger: face.Logger})
 		}
 	}
-	return k
+	return out
 }
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -30,7 +30,6 @@
 	start time.Time
 	// flows counts requests by two seconds, the region they came from and the region they ran in.
 	flows map[int]map[string]map[string]int
-	bad   map[int]int
 }
 
 // ran notes where a request runs.
--- a/entry/internal/pooler/idle.go
+++ b/entry/internal/pooler/idle.go
@@ -26,11 +26,15 @@
 // quiet reports whether an idle connection is still open and has nothing to read. A target that closed it would
 // reset the request; bytes that nobody asked for would be taken for its answer.
 func quiet(c net.Conn) bool {
-	raw, err := c.(syscall.Conn).SyscallConn()
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
-	ok := false
+	ok = false
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -32,8 +32,6 @@
 	// shun is how long such a controller is not asked again while there are others: about as long as a lost link
 	// takes to show.
 	shun = 2 * time.Second
-	// byeTimeout bounds the last call, by which a stopping instance says that it leaves.
-	byeTimeout = 500 * time.Millisecond
 )
 
 // Watcher is the service. Set the exported fields before Start.
