A stand-in of the platform's speech, and the whole path tested with real processes

platform/speaker speaks for targets, operators and clients. Settings name either kind of start again in the words that their test counts.

--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -87,7 +87,7 @@
 		}
 	}
 	if sections["peers"] == sections["seeds"] {
-		d.Fault(nil, "", "either a section [peers] or a section [seeds]", "both or none")
+		d.Fault(nil, "", "a section [peers] or a section [seeds]", "both or none")
 	}
 	c.check(d)
 	if err := d.Err(); err != nil {
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -93,7 +93,7 @@
 		}
 	}
 	if sections["controllers"] == sections["seeds"] {
-		d.Fault(nil, "", "either a section [controllers] or a section [seeds]", "both or none")
+		d.Fault(nil, "", "a section [controllers] or a section [seeds]", "both or none")
 	}
 	c.check(d)
 	if err := d.Err(); err != nil {
--- /dev/null
+++ b/standin/internal/starter/routed.go
@@ -0,0 +1,152 @@
+package starter
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+)
+
+// Ports of processes that speak the users' platform's language.
+const (
+	// PlatformPort takes the calls of operators, targets and clients at a controller.
+	PlatformPort = 7002
+	readyPort    = 8004
+	seedCount    = 3
+)
+
+// Routed is a system whose controllers are founded by seeds and whose entry instances route by a plan.
+type Routed struct {
+	*System
+	// Founders are the seeds' addresses; set by StartRouted.
+	Founders []string
+}
+
+// StartRouted starts controllers and entry instances; the first controllers are the seeds.
+func (s *Routed) StartRouted(controllers, entries int) error {
+	for i := range min(controllers, seedCount) {
+		s.Founders = append(s.Founders, fmt.Sprintf("%s:%d", s.address(controllerNet, i), PlatformPort))
+	}
+	for i := range controllers {
+		if err := s.StartSeeded(i, true); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		if err := s.StartRouter(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartSeeded starts or restarts controller i; first says that the whole system starts for the first time.
+func (s *Routed) StartSeeded(i int, first bool) error {
+	name := fmt.Sprintf("c%d", i+1)
+	address := s.address(controllerNet, i)
+	place := s.place(i)
+	found := "no"
+	if first {
+		found = "yes"
+	}
+	path, err := s.write(name+".ini", fmt.Sprintf(`[controller]
+region = %s
+zone = %s
+folder = %s
+
+[listen]
+control = %s:%d
+operator = %s:%d
+callers = %s:%d
+
+[seeds]
+addresses = %s
+found = %s
+
+[zones]
+%s
+[timing]
+election = 600ms
+heartbeat = 100ms
+replace = 2s
+lease = 4s
+patience = 4s
+`, place.Region, place.Zone, s.DataFolder(i), address, ControlPort, address, OperatorPort, address, PlatformPort,
+		strings.Join(s.Founders, ", "), found, s.zones()))
+	if err != nil {
+		return err
+	}
+	p, err := s.Start(name, "controller", address, "run", "--config", path)
+	if err != nil {
+		return err
+	}
+	s.Controllers = put(s.Controllers, i, p)
+	return nil
+}
+
+func (s *Routed) zones() string {
+	out := ""
+	for _, p := range s.Places {
+		out += p.Zone + " = " + p.Region + "\n"
+	}
+	return out
+}
+
+// StartRouter starts or restarts entry instance i.
+func (s *Routed) StartRouter(i int) error {
+	name := fmt.Sprintf("e%d", i+1)
+	address := s.address(entryNet, i)
+	place := s.place(i)
+	path, err := s.write(name+".ini", fmt.Sprintf(`[entry]
+name = %s
+region = %s
+zone = %s
+
+[listen]
+caller = %s:%d
+ready = %s:%d
+operator = %s:%d
+
+[seeds]
+addresses = %s
+port = %d
+
+[timing]
+answer = 2500ms
+patience = 6s
+`, name, place.Region, place.Zone, address, CallerPort, address, readyPort, address, MetricsPort,
+		strings.Join(s.Founders, ", "), ControlPort))
+	if err != nil {
+		return err
+	}
+	p, err := s.Start(name, "entry", address, "run", "--config", path)
+	if err != nil {
+		return err
+	}
+	s.Entries = put(s.Entries, i, p)
+	return nil
+}
+
+func put(list []*Process, i int, p *Process) []*Process {
+	if i < len(list) {
+		list[i] = p
+		return list
+	}
+	return append(list, p)
+}
+
+// PlatformURLs are the base URLs of all controllers for the platform's calls.
+func (s *Routed) PlatformURLs() []string {
+	var out []string
+	for i := range s.Controllers {
+		out = append(out, fmt.Sprintf("http://%s:%d", s.address(controllerNet, i), PlatformPort))
+	}
+	return out
+}
+
+// LogFile is where a process's lines go.
+func (s *Routed) LogFile(name string) string { return filepath.Join(s.Folder, name+".log") }
+
+// ReadyAddress answers whether entry instance i is ready.
+func (s *Routed) ReadyAddress(i int) string {
+	return fmt.Sprintf("%s:%d", s.address(entryNet, i), readyPort)
+}
--- a/standin/internal/starter/starter.go
+++ b/standin/internal/starter/starter.go
@@ -48,6 +48,9 @@
 	<-p.done
 }
 
+// PID returns the process's id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Freeze stops the process without ending it.
 func (p *Process) Freeze() { _ = p.command.Process.Signal(syscall.SIGSTOP) }
 
--- /dev/null
+++ b/standin/internal/trials/platform_test.go
@@ -0,0 +1,222 @@
+package trials
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/platform/speaker"
+	"chervilrail.example/standin/internal/starter"
+)
+
+const service = "listings"
+
+// fleet is a running system that speaks the users' platform's language, with targets and callers around it.
+type fleet struct {
+	*starter.Routed
+	operator *speaker.Operator
+	targets  []*speaker.Target
+}
+
+func startFleet(t *testing.T, controllers, entries, targets int) *fleet {
+	t.Helper()
+	is := is.New(t)
+	f := &fleet{Routed: &starter.Routed{System: prepare(t)}}
+	is.NoErr(f.StartRouted(controllers, entries))
+	f.operator = &speaker.Operator{Controllers: f.PlatformURLs()}
+	for i := range targets {
+		target := &speaker.Target{
+			ID: fmt.Sprintf("t%d", i+1), Service: service, Zone: f.Places[i%len(f.Places)].Zone, Slots: 3,
+			Work: 10 * time.Millisecond, Controllers: f.PlatformURLs(),
+		}
+		is.NoErr(target.Start("127.0.0.1"))
+		t.Cleanup(target.Kill)
+		f.targets = append(f.targets, target)
+	}
+	until(t, "the first plan is in force", func() bool {
+		return f.operator.Put(context.Background(), speaker.Plan(1, 0, service)) == http.StatusOK
+	})
+	until(t, "a request is served", func() bool { return f.client(0).Send(context.Background(), http.MethodGet, "/safe/1", "k", "").Whole })
+	return f
+}
+
+func (f *fleet) client(i int) *speaker.Client {
+	place := f.Places[i%len(f.Places)]
+	return &speaker.Client{
+		Name: fmt.Sprintf("client%d-%d", i, time.Now().UnixNano()), Region: place.Region, Zone: place.Zone,
+		Directories: f.PlatformURLs(),
+	}
+}
+
+// load sends requests from several callers until stopped, and returns all answers.
+func (f *fleet) load(callers int) (stop func() []speaker.Answer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var mu sync.Mutex
+	var all []speaker.Answer
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			c := f.client(i)
+			for n := 0; ctx.Err() == nil; n++ {
+				method, path := http.MethodGet, "/safe/"
+				if n%2 == 0 {
+					method, path = http.MethodPost, "/once/"
+				}
+				a := c.Send(context.Background(), method, fmt.Sprintf("%s%d?n=%%2F", path, n%7), fmt.Sprint(n%7), "body")
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []speaker.Answer {
+		cancel()
+		group.Wait()
+		return all
+	}
+}
+
+// check fails unless every request was answered whole and none ran twice.
+func (f *fleet) check(t *testing.T, answers []speaker.Answer) {
+	t.Helper()
+	is := is.New(t)
+	for _, a := range answers {
+		if !a.Whole {
+			t.Errorf("%s ended with %d %q: %v", a.ID, a.Status, a.Body, a.Err)
+		}
+	}
+	f.checkOnce(t)
+	is.True(len(answers) > 100)
+}
+
+// checkOnce fails if some attempt ran twice, on one target or on two.
+func (f *fleet) checkOnce(t *testing.T) {
+	t.Helper()
+	runs := map[string]int{}
+	for _, target := range f.targets {
+		for id, n := range target.Runs() {
+			runs[id] += n
+		}
+	}
+	for id, n := range runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+// A calm day with all the planned work that a day may bring: nobody notices any of it.
+func TestPlannedWorkOnThePlatform(t *testing.T) {
+	f := startFleet(t, 5, 3, 6)
+	ctx := context.Background()
+	t.Run("changes", func(t *testing.T) {
+		is := is.New(t)
+		stop := f.load(4)
+		for v := 2; v < 12; v++ {
+			is.Equal(f.operator.Put(ctx, speaker.Plan(v, v-1, service)), http.StatusOK)
+			is.Equal(f.operator.Put(ctx, speaker.Plan(v, v-1, service)), http.StatusOK) // its answer was lost
+			is.Equal(f.operator.Put(ctx, speaker.Plan(v, v-1, "nope")), http.StatusBadRequest)
+		}
+		is.Equal(f.operator.Put(ctx, speaker.Plan(30, 5, service)), http.StatusPreconditionFailed)
+		is.Equal(f.operator.Version(ctx), "r11")
+		time.Sleep(time.Second)
+		f.check(t, stop())
+	})
+	t.Run("a target leaves", func(t *testing.T) {
+		is := is.New(t)
+		stop := f.load(4)
+		acked, err := f.targets[0].Leave(ctx)
+		is.NoErr(err)
+		time.Sleep(3 * time.Second)
+		f.check(t, stop())
+		is.True(f.targets[0].Last().Sub(acked) < 2500*time.Millisecond)
+	})
+	t.Run("a zone is emptied and taken back", func(t *testing.T) {
+		is := is.New(t)
+		stop := f.load(4)
+		zone := f.targets[1].Zone
+		is.Equal(f.operator.Evacuate(ctx, zone, true), http.StatusOK)
+		acked := time.Now()
+		time.Sleep(2 * time.Second)
+		is.True(f.targets[1].Last().Sub(acked) < time.Second)
+		is.Equal(f.operator.Evacuate(ctx, zone, false), http.StatusOK)
+		until(t, "the emptied zone is used again", func() bool { return f.targets[1].Last().After(acked.Add(2 * time.Second)) })
+		f.check(t, stop())
+	})
+	t.Run("entry instances are stopped and reloaded in turn", func(t *testing.T) {
+		is := is.New(t)
+		stop := f.load(4)
+		for i, e := range f.Entries {
+			is.NoErr(syscall.Kill(e.PID(), syscall.SIGHUP))
+			time.Sleep(200 * time.Millisecond)
+			is.NoErr(e.Stop(patience))
+			is.NoErr(f.StartRouter(i))
+			until(t, "the entry instance is ready", func() bool { return speaker.Ready(context.Background(), f.ReadyAddress(i)) })
+		}
+		f.check(t, stop())
+	})
+}
+
+// Controllers are killed, all at once, and one of them loses its disk. What was acknowledged must be there
+// afterwards, traffic goes on meanwhile, and the empty one takes its seat again.
+func TestControllersFailOnThePlatform(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 5, 2, 4)
+	ctx := context.Background()
+	is.Equal(f.operator.Put(ctx, speaker.Plan(7, 1, service)), http.StatusOK)
+	stop := f.load(3)
+	time.Sleep(time.Second) // callers have learnt which entry instances to use
+	for _, c := range f.Controllers {
+		c.Kill()
+	}
+	is.NoErr(os.RemoveAll(f.DataFolder(0)))
+	time.Sleep(time.Second)
+	for i := range f.Controllers {
+		is.NoErr(f.StartSeeded(i, false))
+	}
+	until(t, "the plan is read back", func() bool { return f.operator.Version(ctx) == "r7" })
+	f.check(t, stop())
+	// The next two losses would leave two of five; with the empty one back in its seat there are three.
+	time.Sleep(5 * time.Second)
+	f.Controllers[1].Kill()
+	f.Controllers[2].Kill()
+	until(t, "a change is accepted by what is left", func() bool { return f.operator.Put(ctx, speaker.Plan(8, 7, service)) == http.StatusOK })
+	is.Equal(f.operator.Version(ctx), "r8")
+}
+
+// Entry instances are killed under load, and targets die. Some requests fail then, but none that may run only once
+// runs twice, and what is called not run has not run.
+func TestKillsOnThePlatform(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 3, 3, 6)
+	stop := f.load(6)
+	for i := range f.Entries {
+		time.Sleep(300 * time.Millisecond)
+		f.Entries[i].Kill()
+		is.NoErr(f.StartRouter(i))
+		f.targets[i].Kill()
+		until(t, "the entry instance is ready", func() bool { return speaker.Ready(context.Background(), f.ReadyAddress(i)) })
+	}
+	time.Sleep(time.Second)
+	answers := stop()
+	f.checkOnce(t)
+	whole := 0
+	for _, a := range answers {
+		if a.Whole {
+			whole++
+		}
+		if a.Status == http.StatusServiceUnavailable {
+			for _, target := range f.targets {
+				is.Equal(target.Runs()[a.ID], 0)
+			}
+		}
+	}
+	is.True(whole > len(answers)*8/10)
+}
--- a/standin/internal/trials/system_test.go
+++ b/standin/internal/trials/system_test.go
@@ -39,8 +39,8 @@
 	return string(data)
 }
 
-// start runs a system and ends it with the test.
-func start(t *testing.T, controllers, entries int) *starter.System {
+// prepare makes an empty system that ends with the test.
+func prepare(t *testing.T) *starter.System {
 	t.Helper()
 	is := is.New(t)
 	absolute, err := filepath.Abs(programs)
@@ -62,6 +62,14 @@
 			showLogs(t, s.Folder)
 		}
 	})
+	return s
+}
+
+// start runs a system and ends it with the test.
+func start(t *testing.T, controllers, entries int) *starter.System {
+	t.Helper()
+	is := is.New(t)
+	s := prepare(t)
 	is.NoErr(s.StartControllers(controllers))
 	is.NoErr(s.StartEntries(entries))
 	is.NoErr(s.Apply(catalogue(t)))
