Leaving outranks later heartbeats of the same run

Ruled out: instances that stay with a cut-off controller (they had moved 2 s before). Change: within one run of a target its state goes before its sequence. Test first: TestLeavingOutranksLaterHeartbeats.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -95,11 +95,6 @@
 	if !g.takePlace(r) {
 		return false
 	}
-	// Leaving is final for an incarnation: an announcement that was delayed on its way, or sent by a
-	// part of the target that does not know yet, must not bring work back to a process that stops.
-	if ok && sameRun(old.record, r) {
-		r.State = max(r.GetState(), old.record.GetState())
-	}
 	g.held[r.GetName()] = &held{record: r, until: now.Add(Lease)}
 	return true
 }
@@ -129,16 +124,20 @@
 
 func sameRun(a, b *wire.Record) bool { return a.GetIncarnation() == b.GetIncarnation() }
 
-// newer orders the announcements of one name: by start, then by sequence; of equal ones that which says less of
-// being usable holds.
+// newer orders the announcements of one name: by start, then by state, then by sequence; of equal ones that which says
+// less of being usable holds. State goes before sequence because leaving is final and may be passed on by a controller
+// that missed the target's last heartbeats.
 func newer(old, r *wire.Record) bool {
 	if !sameRun(old, r) {
 		return r.GetIncarnation() > old.GetIncarnation()
 	}
+	if r.GetState() != old.GetState() {
+		return r.GetState() > old.GetState()
+	}
 	if r.GetSequence() != old.GetSequence() {
 		return r.GetSequence() > old.GetSequence()
 	}
-	return r.GetState() > old.GetState() || r.GetSilent() && !old.GetSilent()
+	return r.GetSilent() && !old.GetSilent()
 }
 
 // Live returns the ready records of a service whose lease goes on, by name.
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -183,3 +183,19 @@
 	is.True(g.Merge(now, placed("u", 11, 1, "10.0.0.1:80", wire.TargetState_TARGET_READY)))
 	is.Equal(len(g.Live(now, "listings")), 1)
 }
+
+// A target's last heartbeat reached only controllers that are cut off, and some instances learnt it from them. It
+// leaves by a controller that knows an earlier one. Ordered by sequence alone, those instances would take the leaving
+// for older than what they know, and go on sending requests.
+func TestLeavingOutranksLaterHeartbeats(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, state := range []wire.TargetState{wire.TargetState_TARGET_LEAVING, wire.TargetState_TARGET_GONE} {
+		var g Registrar
+		is.True(g.Merge(now, placed("u", 10, 9, "10.0.0.1:80", wire.TargetState_TARGET_READY)))
+		is.True(g.Merge(now, placed("u", 10, 8, "10.0.0.1:80", state)))
+		is.Equal(len(g.Live(now, "listings")), 0)
+		g.Merge(now, placed("u", 10, 12, "10.0.0.1:80", wire.TargetState_TARGET_READY))
+		is.Equal(len(g.Live(now, "listings")), 0)
+	}
+}
