--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -3,9 +3,9 @@
 // Offer, Done and Tick return what they decided.
 //
 // It answers a load that asks for more slots than there are, from callers of several urgencies, of targets that
-// work faster on objects they handled lately. Slots are dealt among entry instances, so that a request waits here,
-// where it can be overtaken by a more urgent one, and not in a target's queue. A free slot goes first to requests
-// that can still be answered on time, most urgent first.
+// work faster on objects they handled lately. Each object has a favourite target in each region, and goes where it is
+// expected to be done first. Few requests may wait at a target; the others wait here, where a more urgent one can
+// overtake them. Room goes first to requests that can still be answered on time, most urgent first.
 package placer
 
 import (
@@ -40,6 +40,9 @@
 	smoothing = 8
 	// firstWork is taken for the service time before any has been seen.
 	firstWork = 200 * time.Millisecond
+	// noTargetRetry is after what a caller is asked back when a service has no target for it: about as long as a target
+	// takes to announce itself.
+	noTargetRetry = time.Second
 	// minRetry is the shortest time after which a refused caller is asked back.
 	minRetry = 50 * time.Millisecond
 )
@@ -143,8 +146,9 @@
 func (p *Placer) Offer(now time.Time, t *Ticket) (Decision, bool) {
 	t.arrived = now
 	p.urgent = min(p.urgent, t.Priority)
-	if len(p.targets) == 0 {
-		return Decision{Retry: now.Add(time.Second), Reason: "targets"}, true
+	// Without any target that may take it, a request would only wait for its deadline.
+	if !slices.ContainsFunc(p.targets, func(target *Target) bool { return p.allowed(target, t) }) {
+		return Decision{Retry: now.Add(noTargetRetry), Reason: "targets"}, true
 	}
 	if p.ahead(now, t) == 0 {
 		if target := p.place(now, t); target != nil {
--- /dev/null
+++ b/core/placer/placer_test.go
@@ -0,0 +1,99 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/messenger"
+)
+
+var start = time.Unix(1000, 0)
+
+func newPlacer(specs ...Spec) *Placer {
+	p := &Placer{Region: "r", Zone: "z", Far: 70 * time.Millisecond}
+	p.Update(start.Add(-time.Minute), specs, 1)
+	return p
+}
+
+func spec(name string) Spec {
+	return Spec{Name: name, Incarnation: 1, Region: "r", Zone: "z", Slots: 1, Own: 1}
+}
+
+func ticket(priority int32) *Ticket {
+	return &Ticket{
+		Priority: priority, Aim: start.Add(500 * time.Millisecond), Deadline: start.Add(2 * time.Second),
+		Warm: 100 * time.Millisecond, Cold: 100 * time.Millisecond, Decided: make(chan Decision, 1),
+	}
+}
+
+// No target is left that may take the request: none announced itself, all have been tried, or all are in regions that
+// the route forbids. Held until its deadline, its caller could not turn elsewhere.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	tried, abroad := ticket(0), ticket(0)
+	tried.Tried = []string{"a"}
+	abroad.Regions = []string{"elsewhere"}
+	cases := map[string]struct {
+		placer *Placer
+		ticket *Ticket
+	}{
+		"no targets": {newPlacer(), ticket(0)},
+		"all tried":  {newPlacer(spec("a")), tried},
+		"forbidden":  {newPlacer(spec("a")), abroad},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			decision, decided := c.placer.Offer(start, c.ticket)
+			is.True(decided && decision.Target == nil)
+			is.True(decision.Retry.After(start))
+		})
+	}
+}
+
+// The only slot is taken and two requests wait. The more urgent one came later and goes first.
+func TestUrgentGoesFirst(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(spec("a"))
+	first, _ := p.Offer(start, ticket(0))
+	late, urgent := ticket(2), ticket(0)
+	for _, k := range []*Ticket{late, urgent} {
+		_, decided := p.Offer(start, k)
+		is.True(!decided)
+	}
+	placed := p.Done(start.Add(50*time.Millisecond), first.Target, Outcome{Load: &messenger.Load{Running: 1, Slots: 1}})
+	is.Equal(len(placed), 1)
+	is.Equal(placed[0].Ticket, urgent)
+}
+
+// A target has just started. Sent all that its slots could take, it would crash; it gets its rate and no more.
+func TestColdTargetKeepsItsRate(t *testing.T) {
+	is := is.New(t)
+	cold := spec("a")
+	cold.Slots, cold.Own = 100, 100
+	cold.ColdUntil, cold.Rate = start.Add(time.Minute), 5
+	p := newPlacer(cold)
+	sent := 0
+	for i := range 300 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		if decision, decided := p.Offer(now, ticket(0)); decided && decision.Target != nil {
+			p.Done(now, decision.Target, Outcome{Took: time.Millisecond, Usual: time.Millisecond})
+			sent++
+		}
+	}
+	is.True(sent > 0 && sent <= 15) // three seconds at five a second
+}
+
+// A target can't be reached. It is left alone for longer and longer, and the other one takes over at once.
+func TestUnreachableTargetIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(spec("a"), spec("b"))
+	dead, _ := p.Offer(start, ticket(0))
+	p.Done(start, dead.Target, Outcome{Failed: true, Unreachable: true})
+	for range 5 {
+		next, decided := p.Offer(start, ticket(0))
+		is.True(decided && next.Target != nil && next.Target.Name != dead.Target.Name)
+		p.Done(start, next.Target, Outcome{Took: time.Millisecond, Usual: time.Millisecond})
+	}
+}
--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/messenger"
 	"chervilrail.example/entry/internal/pooler"
 )
 
@@ -42,7 +43,8 @@
 
 // writeAnswer passes a target's answer on as it is. It is whole, so its length is said.
 func writeAnswer(w http.ResponseWriter, j *job, a *pooler.Answer) {
-	removeHop(a.Header)
+	messenger.RemoveHop(a.Header)
+	a.Header.Del("Content-Length")
 	header := w.Header()
 	for name, values := range a.Header {
 		header[name] = values
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -4,12 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"net/textproto"
-	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/core/wire"
@@ -145,26 +144,10 @@
 	return context.WithDeadline(ctx, j.deadline.Add(answerMargin))
 }
 
-// hopHeaders concern one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-func removeHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 func (c *Carrier) outgoing(j *job, t *placer.Target, now time.Time) *pooler.Request {
 	header := j.request.Header.Clone()
-	removeHop(header)
+	messenger.RemoveHop(header)
+	header.Del("Content-Length")
 	c.Face.Address(header, t.Name, j.deadline, now)
 	return &pooler.Request{
 		Method: j.request.Method,
--- a/entry/internal/forwarder/once.go
+++ b/entry/internal/forwarder/once.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/claimer"
+	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/retrier"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/refuser"
@@ -113,7 +114,7 @@
 
 func storeHeader(h http.Header) []*wire.Field {
 	kept := h.Clone()
-	removeHop(kept)
+	messenger.RemoveHop(kept)
 	var out []*wire.Field
 	for name, values := range kept {
 		for _, v := range values {
--- a/entry/internal/forwarder/relay.go
+++ b/entry/internal/forwarder/relay.go
@@ -5,21 +5,15 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"net/textproto"
 	"strings"
 	"sync"
 	"time"
 
 	"chervilrail.example/core/balancer"
+	"chervilrail.example/core/messenger"
 	"chervilrail.example/entry/internal/refuser"
 )
 
-// hopHeaders concern one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 const headerForwarded = "X-Forwarded-For"
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, bufferSize); return &b }}
@@ -35,7 +29,7 @@
 	out.Body = j.body.open()
 	out.ContentLength = j.body.size
 	out.TransferEncoding = nil
-	removeHop(out.Header)
+	messenger.RemoveHop(out.Header)
 	if !j.deadline.IsZero() {
 		out.Header.Set(refuser.HeaderDeadline, j.deadline.UTC().Format(time.RFC3339Nano))
 	}
@@ -50,17 +44,6 @@
 	return out
 }
 
-func removeHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 // relay copies a target's answer to the caller.
 func (f *Forwarder) relay(w http.ResponseWriter, j *job, out result) {
 	defer out.release()
@@ -80,7 +63,7 @@
 }
 
 func writeHead(w http.ResponseWriter, j *job, response *http.Response) {
-	removeHop(response.Header)
+	messenger.RemoveHop(response.Header)
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
