"Not run" is not said once an attempt may have run

Found on reading the diff: after a first attempt that broke off, a refusal of the second, by a target or for want of one, was answered 503, which promises that the request has not run. The least certain attempt decides now, and the answer is 502. Only requests that may repeat get a second attempt, so none that must not repeat was concerned. Tests first: TestNotRunIsNotSaidAfterADoubt and a row of TestEndings.

--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -34,22 +34,29 @@
 	g := c.gate(j.service)
 	g.ask(j.started)
 	var tried []string
+	certain := unsent
 	for {
 		decision, present := g.admit(j.request.Context(), c.ticket(j, tried))
 		j.waited = time.Since(j.started)
 		if !present {
 			return gone()
 		}
-		if decision.Target == nil {
+		if decision.Target == nil && certain != unknown {
 			return refuse(http.StatusServiceUnavailable, decision.Reason, decision.Retry)
 		}
+		if decision.Target == nil {
+			return c.giveUp(j, certain)
+		}
 		out, end := c.attempt(j, g, decision.Target)
 		if end == answered {
 			return out
 		}
 		tried = append(tried, decision.Target.Name)
+		// The least certain attempt decides what may be said at last: one that may have run is not made undone by
+		// another that did not.
+		certain = max(certain, end)
 		if !c.again(j, g, end) {
-			return c.giveUp(j, end)
+			return c.giveUp(j, certain)
 		}
 	}
 }
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -151,6 +151,8 @@
 		{"safe broken off twice", "/safe/1", []end{broken, broken, signed(200)}, 502, 2},
 		{"safe without a signature", "/safe/1", []end{bare, signed(200)}, 200, 2},
 		{"safe with an encoding", "/safe/1", []end{encoded, signed(200)}, 200, 2},
+		// The first target may have run it, so the second one's word is not enough to say that it has not run.
+		{"safe broken off, then refused by a target", "/safe/1", []end{broken, unrunBy(503)}, 502, 2},
 		{"no route", "/other/1", []end{signed(200)}, 404, 0},
 	}
 	for _, c := range cases {
@@ -167,6 +169,18 @@
 	}
 }
 
+// The first target broke off and may have run the request; no other is left to send it to. "Not run" would be untrue.
+func TestNotRunIsNotSaidAfterADoubt(t *testing.T) {
+	is := is.New(t)
+	c, s := begin(t, end{ending: pooler.Broken})
+	view := *c.Views.View()
+	view.Targets = map[string][]placer.Spec{"listings": view.Targets["listings"][:1]}
+	c.Follow(&view)
+	w := ask(c, http.MethodPost, "/safe/1")
+	is.Equal(w.Code, http.StatusBadGateway)
+	is.Equal(len(s.sent), 1)
+}
+
 // A target does not answer in time. The caller gets the final answer at its route's time-out and no later.
 func TestTimeout(t *testing.T) {
 	is := is.New(t)
