An instance without a plan is not named; unused code out

Test first: TestInstanceWithoutAPlanIsNotNamed. Also out: a wrapper of strconv.Itoa, Placer.Waiting and a header name that nothing used.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -265,9 +265,6 @@
 	return true
 }
 
-// Waiting returns how many tickets wait.
-func (p *Placer) Waiting() int { return len(p.queue) }
-
 // place takes a slot for a request, or returns nil if no target has room for it.
 func (p *Placer) place(now time.Time, t *Ticket) *Target {
 	target := p.choose(now, t)
--- a/entry/internal/pooler/idle.go
+++ b/entry/internal/pooler/idle.go
@@ -9,8 +9,6 @@
 	"time"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // keepAlive is how long a connection may stay idle after an answer: less than the target says it keeps it open, for
 // a request that crosses the target's close can't be repeated if it may run only once.
 func keepAlive(h http.Header) time.Duration {
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -217,7 +218,7 @@
 	b.WriteString(r.Method + " " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + itoa(len(r.Body)) + "\r\n")
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -199,7 +199,9 @@
 	s := &w.state
 	node := &wire.Node{
 		Name: w.Node.GetName(), Incarnation: w.Node.GetIncarnation(), Caller: w.Node.GetCaller(),
-		Region: w.Node.GetRegion(), Zone: w.Node.GetZone(), Leaving: w.leaving.Load(),
+		Region: w.Node.GetRegion(), Zone: w.Node.GetZone(),
+		// Without a plan this instance would refuse every caller that a look-up sends here.
+		Leaving: w.leaving.Load() || s.plan == nil,
 	}
 	out := &wire.WatchRequest{Node: node, Run: s.run, Counter: s.counter, Revision: s.revision, Losses: w.reports}
 	w.reports = nil
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -190,3 +190,15 @@
 	is.Equal(spec.Rate, 8.0)
 	is.Equal(spec.Own, int32(3))
 }
+
+// An instance has just started and knows no plan. Named in look-ups already, it would refuse every caller sent to it.
+func TestInstanceWithoutAPlanIsNotNamed(t *testing.T) {
+	is := is.New(t)
+	c, address := serve(t, answer(5, 3, true))
+	w := begin(t, address)
+	until(t, func() bool { return version(w) == 3 && c.count() > 2 })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	is.True(c.asked[0].GetNode().GetLeaving())
+	is.True(!c.asked[len(c.asked)-1].GetNode().GetLeaving())
+}
