A write torn in its middle no longer keeps a controller from starting

Cause: one write held several records, each valid alone. A power loss that kept only the later sectors left a valid record behind a bad one, which recovery rightly takes for damage to acknowledged entries; the controller refused to start. Ruled out: loosening the check of damage, for it guards what was acknowledged.

Change: a write is one record with one checksum; its parts have none of their own, so a torn write is a torn tail wherever it is torn. Logs written record by record are still read.

--- a/core/storer/record.go
+++ b/core/storer/record.go
@@ -18,6 +18,7 @@
 	recordReset
 	recordSnapshot
 	recordIdentity
+	recordBatch
 )
 
 const (
@@ -29,7 +30,7 @@
 
 var checksums = crc32.MakeTable(crc32.Castagnoli)
 
-// record is a length, a checksum over kind and data, the kind and the data.
+// record is a length, a checksum over kind and data, the kind and the data. A batch's data are parts.
 type record struct {
 	kind recordKind
 	data []byte
@@ -40,12 +41,16 @@
 }
 
 func appendMessage(buffer []byte, kind recordKind, m proto.Message) []byte {
+	return appendRecord(buffer, kind, marshal(m))
+}
+
+func marshal(m proto.Message) []byte {
 	data, err := proto.Marshal(m)
 	if err != nil {
 		// Marshalling fails only for invalid UTF-8, which the parsers of all inputs reject before.
 		panic(fmt.Sprintf("storer: encode record: %v", err))
 	}
-	return appendRecord(buffer, kind, data)
+	return data
 }
 
 func appendRecord(buffer []byte, kind recordKind, data []byte) []byte {
@@ -55,6 +60,39 @@
 	return append(buffer, data...)
 }
 
+// partHeader is a part's kind and length.
+const partHeader = 5
+
+// appendPart adds one part of a batch. Parts have no checksum of their own: they count together or not at all. A write
+// that power loss tore in its middle could otherwise leave a valid record behind a bad one, which looks like damage to
+// what was acknowledged and keeps the controller from starting.
+func appendPart(buffer []byte, kind recordKind, m proto.Message) []byte {
+	data := marshal(m)
+	buffer = append(buffer, byte(kind))
+	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(data)))
+	return append(buffer, data...)
+}
+
+// parts takes a batch apart; any other record is its own only part.
+func parts(r record) ([]record, error) {
+	if r.kind != recordBatch {
+		return []record{r}, nil
+	}
+	var out []record
+	for data := r.data; len(data) > 0; {
+		if len(data) < partHeader {
+			return nil, &formatError{"part's header cut short"}
+		}
+		size := int(binary.LittleEndian.Uint32(data[1:]))
+		if size > len(data)-partHeader {
+			return nil, &formatError{"part cut short"}
+		}
+		out = append(out, record{recordKind(data[0]), data[partHeader : partHeader+size]})
+		data = data[partHeader+size:]
+	}
+	return out, nil
+}
+
 func checksum(kind recordKind, data []byte) uint32 {
 	sum := crc32.Update(0, checksums, []byte{byte(kind)})
 	sum = crc32.Update(sum, checksums, binary.LittleEndian.AppendUint32(nil, uint32(len(data))))
@@ -81,7 +119,7 @@
 func validAfter(data []byte) bool {
 	for at := 1; at+headerSize <= len(data); at++ {
 		kind := recordKind(data[at+8])
-		if kind < recordVote || kind > recordReset {
+		if kind < recordVote || kind > recordBatch {
 			continue
 		}
 		if _, _, err := decodeRecord(data[at:]); err == nil {
--- a/core/storer/recovery.go
+++ b/core/storer/recovery.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return s.judgeTail(path, data, offset, newest, err)
 		}
-		if err := s.recall(serial, record, out); err != nil {
+		if err := s.recallAll(serial, record, out); err != nil {
 			return &DamageError{Path: path, Offset: int64(offset), Reason: err.Error()}
 		}
 		offset += size
@@ -140,6 +140,19 @@
 	return nil
 }
 
+func (s *Storer) recallAll(serial uint64, r record, out *Recovered) error {
+	all, err := parts(r)
+	if err != nil {
+		return err
+	}
+	for _, part := range all {
+		if err := s.recall(serial, part, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Storer) recall(serial uint64, r record, out *Recovered) error {
 	switch r.kind {
 	case recordVote:
@@ -157,7 +170,7 @@
 		out.Entries = place(out.Entries, e, out.Snapshot.GetIndex())
 	case recordReset:
 		out.Entries = nil
-	case recordSnapshot, recordIdentity:
+	case recordSnapshot, recordIdentity, recordBatch:
 		return &formatError{"a record of another file"}
 	}
 	return nil
--- a/core/storer/storer.go
+++ b/core/storer/storer.go
@@ -70,19 +70,19 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	var buffer []byte
+	var batch []byte
 	if vote != nil {
 		s.vote = vote
-		buffer = appendMessage(buffer, recordVote, vote)
+		batch = appendPart(batch, recordVote, vote)
 	}
 	for _, e := range entries {
-		buffer = appendMessage(buffer, recordEntry, e)
+		batch = appendPart(batch, recordEntry, e)
 		s.last[s.serial] = max(s.last[s.serial], e.GetIndex())
 	}
-	if len(buffer) == 0 {
+	if len(batch) == 0 {
 		return nil
 	}
-	if err := s.write(buffer); err != nil {
+	if err := s.write(encodeRecord(recordBatch, batch)); err != nil {
 		return err
 	}
 	if s.size < segmentLimit {
--- a/core/storer/storer_test.go
+++ b/core/storer/storer_test.go
@@ -95,6 +95,39 @@
 	}
 }
 
+// Several entries are saved in one write, the power fails before the sync, and of the write's sectors only the later ones
+// reached the disk. Nobody was told of these entries; the controller must start with what was acknowledged before. When
+// it did not, an operator had to empty its disk by hand, and a second lost disk would have stopped all changes.
+func TestTornBatchIsCut(t *testing.T) {
+	for torn := range 20 {
+		t.Run(fmt.Sprint(torn), func(t *testing.T) {
+			is := is.New(t)
+			s, _ := openAt(t, t.TempDir())
+			is.NoErr(s.Save(nil, []*wire.Entry{entry(1, 1), entry(2, 1)}))
+			at := s.size
+			is.NoErr(s.Save(&wire.Vote{Term: 2}, []*wire.Entry{entry(3, 2), entry(4, 2), entry(5, 2)}))
+			path := newest(t, s)
+			data, err := os.ReadFile(path)
+			is.NoErr(err)
+			data[at+int64(torn)] ^= 0xff
+			is.NoErr(os.WriteFile(path, data, fileMode))
+			_, r := openAt(t, s.Folder)
+			assertLast(t, r, 2, 1)
+			is.Equal(r.Vote.GetTerm(), uint64(0))
+		})
+	}
+}
+
+// A controller starts with a disk that was written record by record, before writes became batches.
+func TestSingleRecordsAreRead(t *testing.T) {
+	is := is.New(t)
+	s, _ := openAt(t, t.TempDir())
+	is.NoErr(s.write(appendMessage(nil, recordEntry, entry(1, 1))))
+	is.NoErr(s.write(appendMessage(nil, recordEntry, entry(2, 1))))
+	_, r := openAt(t, s.Folder)
+	assertLast(t, r, 2, 1)
+}
+
 // A bit flips in a record that was acknowledged. Starting without it would undo an accepted change, so the
 // controller refuses and names the file and the offset.
 func TestDamageInTheMiddleIsRefused(t *testing.T) {
