Logs are written in the background, bounded, and never block a request

Cause: every log line was a write to standard output under one lock; a reader that stands still held up every request. Ruled out: dropping at the level of the logger, which would lose which lines are missing.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -121,7 +121,8 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	k := assemble(settings)
+	k, closeLog := assemble(settings)
+	defer closeLog()
 	k.Services = append([]kernel.Service{&reloader.Reloader{
 		// What the settings say takes effect with the next start.
 		Load:   func() error { _, err := load(c); return err },
@@ -131,13 +132,12 @@
 	return k.Run(ctx)
 }
 
-// logsOut is where log lines go: supervisors collect standard output.
-var logsOut = os.Stdout
-
-func assemble(settings *config.Config) *kernel.Kernel {
-	logs := logger.New(logsOut, logger.Options{
+// assemble puts the controller together; the function it returns ends the log.
+func assemble(settings *config.Config) (*kernel.Kernel, func()) {
+	registry := reporter.Registry()
+	logs, closeLog := logger.Open(logger.Options{
 		Format: settings.LogFormat, Level: settings.LogLevel, Program: "controller", Instance: settings.Name,
-	})
+	}, registry)
 	fatal := make(chan error, 1)
 	controlKeys := &securer.Keys{Files: settings.ControlKeys}
 	carrier := &courier.Courier{Dialer: &dialer.Dialer{Keys: controlKeys}, Logger: logs}
@@ -165,7 +165,6 @@
 	handlers := &server.Server{Mind: mind, Token: settings.Token, Exchanger: exchange, Changer: change}
 	operator := handlers.Operator()
 	k := &kernel.Kernel{Logger: logs, Patience: settings.Patience, Fatal: fatal}
-	registry := reporter.Registry()
 	registry.MustRegister(&server.Collector{Summary: mind.Summary})
 	reporter.Mount(operator, registry, k)
 	k.Services = []kernel.Service{
@@ -187,7 +186,7 @@
 		Changer: change, Register: exchange, Steerer: &steerer.Steerer{Sightings: exchange},
 		Regions: settings.Regions, Logger: logs,
 	})...)
-	return k
+	return k, closeLog
 }
 
 // faces are the listeners that speak the users' platform's language, where the settings name any.
--- a/core/logger/logger.go
+++ b/core/logger/logger.go
@@ -2,10 +2,14 @@
 package logger
 
 import (
+	"context"
 	"io"
+	"os"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Options are the log settings of a program.
@@ -19,6 +23,21 @@
 	Instance string
 }
 
+// closeTimeout bounds how long a program that ends waits for its last lines to be read.
+const closeTimeout = time.Second
+
+// Open returns a logger to standard output that never blocks, and what ends it.
+func Open(o Options, registry prometheus.Registerer) (log.Logger, func()) {
+	w := &Writer{Out: os.Stdout}
+	w.Start(registry)
+	return New(w, o), func() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		// Nobody is left to be told of a failure.
+		_ = w.Close(ctx)
+	}
+}
+
 // New returns a logger that writes to w.
 func New(w io.Writer, o Options) log.Logger {
 	w = log.NewSyncWriter(w)
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -78,9 +78,12 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if len(settings.Seeds) > 0 {
-		return newRouted(c.String("config"), settings).run(ctx)
+		p := newRouted(c.String("config"), settings)
+		defer p.closeLog()
+		return p.run(ctx)
 	}
 	p := newProgram(c.String("config"), settings)
+	defer p.closeLog()
 	_ = level.Info(p.logger).Log("msg", "starting", "caller", settings.Caller, "region", settings.Region,
 		"zone", settings.Zone)
 	return p.kernel().Run(ctx)
@@ -91,6 +94,7 @@
 	settings   *config.Config
 	path       string
 	logger     log.Logger
+	closeLog   func()
 	registry   *prometheus.Registry
 	control    *securer.Keys
 	requester  *requester.Requester
@@ -102,12 +106,12 @@
 
 func newProgram(path string, settings *config.Config) *program {
 	p := &program{path: path, settings: settings, registry: reporter.Registry(), quarantine: &quarantiner.Quarantiner{}}
-	p.logger = logger.New(os.Stdout, logger.Options{
+	p.logger, p.closeLog = logger.Open(logger.Options{
 		Format:   settings.LogFormat,
 		Level:    settings.LogLevel,
 		Program:  "entry",
 		Instance: settings.Name,
-	})
+	}, p.registry)
 	p.control = &securer.Keys{Files: settings.ControlKeys}
 	calls := &dialer.Dialer{Keys: p.control}
 	p.requester = &requester.Requester{Dialer: calls, Controllers: settings.Controllers}
--- a/entry/internal/cli/routed.go
+++ b/entry/internal/cli/routed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"time"
 
@@ -39,6 +38,7 @@
 	settings *config.Config
 	path     string
 	logger   log.Logger
+	closeLog func()
 	registry *prometheus.Registry
 	watcher  *watcher.Watcher
 	carrier  *carrier.Carrier
@@ -47,9 +47,9 @@
 
 func newRouted(path string, settings *config.Config) *routed {
 	p := &routed{path: path, settings: settings, registry: reporter.Registry()}
-	p.logger = logger.New(os.Stdout, logger.Options{
+	p.logger, p.closeLog = logger.Open(logger.Options{
 		Format: settings.LogFormat, Level: settings.LogLevel, Program: "entry", Instance: settings.Name,
-	})
+	}, p.registry)
 	quarantine := &quarantiner.Quarantiner{Confirm: confirmedLosses}
 	p.watcher = &watcher.Watcher{
 		Node: &wire.Node{
