Look-ups name all entry instances of a region, not the first sixteen of the list

Cause: answers were cut after 16 names of a sorted list; a grown region has 27, of which 11 took no callers. Change: up to 64 names, and beyond that a part of the list that differs between clients. TestAllInstancesAreNamed fails for 27 before (16 of 27 named).

--- a/controller/internal/steerer/steerer.go
+++ b/controller/internal/steerer/steerer.go
@@ -3,8 +3,11 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilrail.example/core/wire"
 )
 
@@ -12,8 +15,8 @@
 // and some clients keep answers three times as long as they are told.
 const answerLife = 2 * time.Second
 
-// maxAnswers is how many entry instances one answer names.
-const maxAnswers = 16
+// maxAnswers is how many entry instances one answer names: as many as clients take from one.
+const maxAnswers = 64
 
 // Sightings lists the entry instances heard lately.
 type Sightings interface {
@@ -26,7 +29,7 @@
 }
 
 // Steer returns the entry instances for a client of a region and availability zone, and until when that holds.
-func (s *Steerer) Steer(_ netip.Addr, region, _ string, now time.Time) ([]netip.AddrPort, time.Time) {
+func (s *Steerer) Steer(client netip.Addr, region, _ string, now time.Time) ([]netip.AddrPort, time.Time) {
 	var near, all []netip.AddrPort
 	for _, seen := range s.Sightings.Entries() {
 		n := seen.GetNode()
@@ -42,5 +45,15 @@
 	if len(near) == 0 {
 		near = all
 	}
-	return near[:min(len(near), maxAnswers)], now.Add(answerLife)
+	return some(client, near), now.Add(answerLife)
+}
+
+// some names as many as fit, from a place in the list that differs between clients: the first of the list alone would
+// carry everything while the others idle.
+func some(client netip.Addr, list []netip.AddrPort) []netip.AddrPort {
+	if len(list) <= maxAnswers {
+		return list
+	}
+	at := int(xxhash.Sum64(client.AsSlice()) % uint64(len(list)))
+	return slices.Concat(list[at:], list[:at])[:maxAnswers]
 }
--- /dev/null
+++ b/controller/internal/steerer/steerer_test.go
@@ -0,0 +1,59 @@
+package steerer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/wire"
+)
+
+type sightings []*wire.Seen
+
+func (s sightings) Entries() []*wire.Seen { return s }
+
+func entries(region string, count int) sightings {
+	var out sightings
+	for i := range count {
+		out = append(out, &wire.Seen{Node: &wire.Node{
+			Name: fmt.Sprint(region, i), Region: region, Caller: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200),
+		}})
+	}
+	return out
+}
+
+// named counts how often each entry instance is named to clients of a region.
+func named(s *Steerer, region string, clients int) map[netip.AddrPort]int {
+	out := map[netip.AddrPort]int{}
+	for i := range clients {
+		client := netip.AddrFrom4([4]byte{10, 9, byte(i / 250), byte(i % 250)})
+		found, _ := s.Steer(client, region, "", time.Unix(1000, 0))
+		for _, a := range found {
+			out[a]++
+		}
+	}
+	return out
+}
+
+// A region has more entry instances than one answer names. When all clients are told the same ones, those are full and
+// their callers refused, while the others idle.
+func TestAllInstancesAreNamed(t *testing.T) {
+	for _, count := range []int{1, 27, 64, 100, 300} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			is := is.New(t)
+			counts := named(&Steerer{Sightings: entries("r", count)}, "r", 2000)
+			is.Equal(len(counts), count)
+			for _, n := range counts {
+				is.True(n > 2000*min(count, maxAnswers)/count/3)
+			}
+		})
+	}
+}
+
+func TestOthersWhereTheRegionHasNone(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(named(&Steerer{Sightings: entries("far", 3)}, "near", 10)), 3)
+}
