Shares of the regions follow the targets until the first request

Cause: shares were taken from the first targets that an entry instance heard of, one or two a region, and kept while the set of regions did not change. A region with an eighth of the targets then began with all of its requests at home, and moved away from there by 5.5% a second only. Ruled out: moving faster, for the bound on moves holds then, too. Change: until the first request the shares are taken anew with each change of targets; the first request counts no time before it.

--- a/core/placer/spread.go
+++ b/core/placer/spread.go
@@ -40,7 +40,9 @@
 	rate float64
 }
 
-// follow takes a changed set of targets; slots holds how many each region has.
+// follow takes a changed set of targets; slots holds how many each region has. Until the first request the shares
+// follow the slots: targets announce themselves one by one, and shares taken from the first few would send a region's
+// first requests to where it has no room, and move away from there in slow steps only.
 func (s *spread) follow(home string, slots map[string]float64) {
 	s.home = home
 	var regions []string
@@ -48,7 +50,7 @@
 		regions = append(regions, r)
 	}
 	slices.Sort(regions)
-	if slices.Equal(regions, s.regions) {
+	if slices.Equal(regions, s.regions) && !s.at.IsZero() {
 		return
 	}
 	s.regions = regions
@@ -116,7 +118,10 @@
 		}
 		s.wish[r] += (target - s.wish[r]) / wishParts
 	}
-	elapsed := now.Sub(s.at)
+	elapsed := time.Duration(0)
+	if !s.at.IsZero() {
+		elapsed = now.Sub(s.at)
+	}
 	s.at = now
 	s.count(elapsed)
 	if now.Before(s.free) {
--- /dev/null
+++ b/core/placer/spread_test.go
@@ -0,0 +1,49 @@
+package placer
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// unevenSpecs are the targets of three regions, of which the first has too few for its callers.
+func unevenSpecs() []Spec {
+	var out []Spec
+	for region, count := range map[string]int{"few": 4, "some": 12, "many": 16} {
+		for i := range count {
+			out = append(out, Spec{Name: fmt.Sprintf("%s-%d", region, i), Region: region, Zone: region, Slots: 6})
+		}
+	}
+	return out
+}
+
+func assertShare(t *testing.T, p *Placer, region string, want float64) {
+	t.Helper()
+	is.New(t).True(math.Abs(p.spread.shares[region]-want) < 0.01)
+}
+
+// Before the first callers come, targets announce themselves one after the other. An entry instance of a region with
+// few targets must not take its shares from the first ones it hears of: its region would count as roomy, and its first
+// callers would wait for seconds where there are no free slots while others idle.
+func TestSharesFollowTargetsUntilTheFirstRequest(t *testing.T) {
+	all := unevenSpecs()
+	first := []Spec{}
+	for _, s := range all {
+		if s.Name == "few-0" || s.Name == "some-0" || s.Name == "many-0" {
+			first = append(first, s)
+		}
+	}
+	p := &Placer{Region: "few", Zone: "few", Far: 70 * time.Millisecond}
+	p.Update(start, first, 3)
+	p.Update(start.Add(time.Second), all, 3)
+	t.Run("before", func(t *testing.T) { assertShare(t, p, "few", 0.375) })
+	t.Run("after the first request", func(t *testing.T) {
+		later := start.Add(time.Minute)
+		_, _ = p.Offer(later, &Ticket{Aim: later.Add(time.Second), Deadline: later.Add(3 * time.Second)})
+		p.Update(later, first, 3)
+		assertShare(t, p, "few", 0.375)
+	})
+}
