News reaches entry instances while targets die; they watch a near controller and hear only what changed

Each report of a request that was in flight when a target died ended the call that waits for news; with several reports a second and a round trip of 70 ms no call was answered. The reports that the ended call carried were lost, too. Ruled out: a frozen controller alone, which costs 1.8 s.

Watchers turn to a controller of their region that the others reach, are told of entry instances that changed instead of all, and of news that came within 50 ms together: the list of 80 instances, told to 80 watchers at each start and stop, was most of the control traffic between regions. gossiper keeps entry instances in a file of its own.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -158,7 +158,8 @@
 		Fatal:  fatal,
 	}
 	exchange := &exchanger.Exchanger{
-		Self: settings.Name, Mind: mind, Dialer: &dialer.Dialer{Keys: controlKeys, Plain: true}, Logger: logs,
+		Self: settings.Name, Region: settings.Region, Mind: mind, Dialer: &dialer.Dialer{Keys: controlKeys, Plain: true},
+		Logger: logs,
 	}
 	mind.Changed = exchange.Wake
 	change := &changer.Changer{Mind: mind, Passer: exchange, Logger: logs}
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -40,6 +40,7 @@
 // Exchanger is the service. Set the exported fields before Start.
 type Exchanger struct {
 	Self   string
+	Region string
 	Mind   Mind
 	Dialer *dialer.Dialer
 	Logger log.Logger
@@ -73,7 +74,7 @@
 		return err
 	}
 	x.client = client
-	x.gossip.Self = x.Self
+	x.gossip.Self, x.gossip.Region = x.Self, x.Region
 	x.gossip.Run = rand.Uint64() | 1
 	x.news = make(chan struct{})
 	x.peers = map[string]*link{}
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -9,14 +9,20 @@
 	"chervilrail.example/core/wire"
 )
 
+// gatherNews is how long news waits for more before it is passed on. Changes come in groups, and each answer costs every
+// entry instance a call.
+const gatherNews = 50 * time.Millisecond
+
 // Watch answers an entry instance as soon as there is something new for it, or after a pause.
 func (x *Exchanger) Watch(
 	ctx context.Context, r *connect.Request[wire.WatchRequest],
 ) (*connect.Response[wire.WatchResponse], error) {
-	x.update(func(now time.Time) {
-		x.gossip.See(now, r.Msg.GetNode())
-		x.gossip.Report(now, r.Msg.GetLosses(), true)
-	})
+	x.update(func(now time.Time) { x.gossip.See(now, r.Msg.GetNode()) })
+	if r.Msg.GetFirst() {
+		if nearer := x.nearer(r.Msg.GetNode().GetRegion()); nearer != nil {
+			return connect.NewResponse(nearer), nil
+		}
+	}
 	pause := time.NewTimer(watchHold)
 	defer pause.Stop()
 	for {
@@ -29,6 +35,7 @@
 		}
 		select {
 		case <-news:
+			time.Sleep(gatherNews)
 		case <-pause.C:
 			response, _ = x.answer(time.Now(), r.Msg)
 			return connect.NewResponse(response), nil
@@ -50,21 +57,58 @@
 	if r.GetRun() != x.gossip.Run {
 		counter = 0
 	}
-	out := &wire.WatchResponse{Run: x.gossip.Run, Counter: x.gossip.Counter(), Linked: linked, Revision: routing.Revision}
-	out.Records, out.Seen, out.Losses = x.gossip.Since(now, counter)
-	for _, m := range routing.Members {
-		out.Controllers = append(out.Controllers, m.GetAddress())
+	news := x.gossip.Since(now, counter)
+	out := &wire.WatchResponse{
+		Run: x.gossip.Run, Counter: x.gossip.Counter(), Linked: linked, Revision: routing.Revision,
+		Records: news.Records, Seen: news.Seen, Whole: news.Whole, Losses: news.Losses,
 	}
+	x.nameControllers(now, r.GetNode().GetRegion(), out)
 	if routing.Revision > r.GetRevision() {
 		out.Evacuated = routing.Evacuated
 		if routing.Plan.GetVersion() > r.GetVersion() {
 			out.Plan = routing.Plan
 		}
 	}
-	fresh := routing.Revision > r.GetRevision() || len(out.Records)+len(out.Seen)+len(out.Losses) > 0
+	fresh := routing.Revision > r.GetRevision() || !news.Empty()
 	return out, fresh || !linked && r.GetRun() == x.gossip.Run
 }
 
+// nameControllers lists the controllers, and which of them are near. The caller holds the lock.
+func (x *Exchanger) nameControllers(now time.Time, region string, out *wire.WatchResponse) {
+	for _, m := range x.Mind.Routing().Members {
+		out.Controllers = append(out.Controllers, m.GetAddress())
+		if x.gossip.Near(now, m.GetName(), region) {
+			out.Near = append(out.Near, m.GetAddress())
+		}
+	}
+}
+
+// nearer returns an answer that only names controllers of a region, or nil if this one is there or none is.
+func (x *Exchanger) nearer(region string) *wire.WatchResponse {
+	if region == x.Region {
+		return nil
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := &wire.WatchResponse{}
+	x.nameControllers(time.Now(), region, out)
+	if len(out.GetNear()) == 0 {
+		return nil
+	}
+	return out
+}
+
+// Tell takes an entry instance's news.
+func (x *Exchanger) Tell(
+	_ context.Context, r *connect.Request[wire.TellRequest],
+) (*connect.Response[wire.TellResponse], error) {
+	x.update(func(now time.Time) {
+		x.gossip.See(now, r.Msg.GetNode())
+		x.gossip.Report(now, r.Msg.GetLosses(), true)
+	})
+	return connect.NewResponse(&wire.TellResponse{}), nil
+}
+
 // Entries returns the entry instances heard lately by any controller in touch.
 func (x *Exchanger) Entries() []*wire.Seen {
 	x.mu.Lock()
--- a/controller/internal/server/server.go
+++ b/controller/internal/server/server.go
@@ -40,6 +40,7 @@
 type Exchanger interface {
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 	Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error)
+	Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error)
 }
 
 // Changer runs commands that another controller passed on.
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -23,13 +23,9 @@
 	if whole {
 		p.differAt = now
 	}
-	out := &wire.ExchangeRequest{From: g.Self, Run: g.Run, Counter: g.counter, Digest: g.digest}
+	out := &wire.ExchangeRequest{From: g.Self, Run: g.Run, Counter: g.counter, Digest: g.digest, Region: g.Region}
 	out.Records = g.changed(now, func(m *mark) bool { return whole || m.home && m.changed > p.acked })
-	for _, s := range g.nodes {
-		if s.home {
-			out.Seen = append(out.Seen, &wire.Seen{Node: s.node, Age: int64(now.Sub(s.heardAt))})
-		}
-	}
+	out.Seen = g.nodes.own(now)
 	for _, l := range g.losses {
 		if l.home && l.counter > p.acked {
 			out.Losses = append(out.Losses, l.report)
@@ -45,10 +41,12 @@
 		g.learn(now, record)
 	}
 	for _, s := range r.GetSeen() {
-		g.sight(s.GetNode(), now.Add(-time.Duration(s.GetAge())), false)
+		g.counter = g.nodes.sight(s.GetNode(), now.Add(-time.Duration(s.GetAge())), false, g.counter)
 	}
 	g.Report(now, r.GetLosses(), false)
-	g.compare(now, g.peer(r.GetFrom()), r.GetDigest())
+	p := g.peer(r.GetFrom())
+	p.region = r.GetRegion()
+	g.compare(now, p, r.GetDigest())
 	return &wire.ExchangeResponse{Run: r.GetRun(), Counter: r.GetCounter(), Answerer: g.Run}
 }
 
@@ -97,6 +95,14 @@
 	return name == g.Self || g.peers[name] != nil && g.peers[name].acked >= counter
 }
 
+// Near reports whether a controller is in a region and answered an exchange lately.
+func (g *Gossiper) Near(now time.Time, name, region string) bool {
+	if name == g.Self {
+		return region == g.Region
+	}
+	return g.Reached(now, name) && g.peers[name].region == region
+}
+
 // Reached reports whether a controller answered an exchange lately.
 func (g *Gossiper) Reached(now time.Time, name string) bool {
 	return name == g.Self || g.peers[name] != nil && now.Sub(g.peers[name].ackedAt) < linkLife
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -29,8 +29,6 @@
 	repairAfter = 700 * time.Millisecond
 	// silentAfter is how long a target may be unheard: three of its announcements and the time that one may be late.
 	silentAfter = 6 * time.Second
-	// nodeLife is how long an entry instance counts after it was last heard; it asks at least every second.
-	nodeLife = 3 * time.Second
 	// lossLife and maxLosses bound the reports of requests that were in flight when a target died.
 	lossLife  = 2 * time.Minute
 	maxLosses = 512
@@ -39,17 +37,17 @@
 // Gossiper holds one controller's picture. Set the exported fields before use.
 type Gossiper struct {
 	// Self is this controller's name, Run a number that differs with each start.
-	Self string
-	Run  uint64
+	Self   string
+	Run    uint64
+	Region string
 
 	targets registrar.Registrar
 	marks   map[string]*mark
-	nodes   map[string]*sighting
+	nodes   nodes
 	peers   map[string]*peer
 	losses  []*loss
 	// counter grows with everything that a watcher should learn.
 	counter uint64
-	roster  uint64
 	// digest sums up the targets' records; equal pictures have equal digests.
 	digest uint64
 }
@@ -64,12 +62,6 @@
 	digest  uint64
 }
 
-type sighting struct {
-	node    *wire.Node
-	heardAt time.Time
-	home    bool
-}
-
 type loss struct {
 	report  *wire.Loss
 	counter uint64
@@ -79,6 +71,7 @@
 
 // peer is another controller as seen from here.
 type peer struct {
+	region   string
 	run      uint64
 	acked    uint64
 	ackedAt  time.Time
@@ -89,7 +82,6 @@
 func (g *Gossiper) init() {
 	if g.marks == nil {
 		g.marks = map[string]*mark{}
-		g.nodes = map[string]*sighting{}
 		g.peers = map[string]*peer{}
 	}
 }
@@ -158,24 +150,6 @@
 	m.digest = sum
 }
 
-// See notes an entry instance's own call.
-func (g *Gossiper) See(now time.Time, n *wire.Node) {
-	g.init()
-	g.sight(n, now, true)
-}
-
-func (g *Gossiper) sight(n *wire.Node, at time.Time, home bool) {
-	old, ok := g.nodes[n.GetName()]
-	if ok && !at.After(old.heardAt) {
-		return
-	}
-	g.nodes[n.GetName()] = &sighting{n, at, home}
-	if !ok || !proto.Equal(old.node, n) {
-		g.counter++
-		g.roster = g.counter
-	}
-}
-
 // Report takes reports of requests that were in flight when a target died.
 func (g *Gossiper) Report(now time.Time, reports []*wire.Loss, home bool) {
 	for _, r := range reports {
@@ -194,7 +168,7 @@
 // once, it is this controller that lost its links, and traffic must go on.
 func (g *Gossiper) Tick(now time.Time) {
 	g.init()
-	g.tickNodes(now)
+	g.counter = g.nodes.tick(now, g.counter)
 	g.losses = slices.DeleteFunc(g.losses, func(l *loss) bool { return !now.Before(l.until) })
 	heard, quiet := 0, []string{}
 	for _, name := range slices.Sorted(maps.Keys(g.marks)) {
@@ -222,41 +196,30 @@
 	}
 }
 
-func (g *Gossiper) tickNodes(now time.Time) {
-	for name, s := range g.nodes {
-		if now.Sub(s.heardAt) > nodeLife {
-			delete(g.nodes, name)
-			g.counter++
-			g.roster = g.counter
-		}
-	}
+// News is what a watcher lacks.
+type News struct {
+	Records []*wire.Record
+	// Seen are the entry instances that changed, those that are gone marked lost, or all if Whole is set.
+	Seen   []*wire.Seen
+	Whole  bool
+	Losses []*wire.Loss
 }
 
-// Nodes returns the entry instances heard lately, by name.
-func (g *Gossiper) Nodes(now time.Time) []*wire.Seen {
-	var out []*wire.Seen
-	for _, name := range slices.Sorted(maps.Keys(g.nodes)) {
-		s := g.nodes[name]
-		if now.Sub(s.heardAt) <= nodeLife {
-			out = append(out, &wire.Seen{Node: s.node, Age: int64(now.Sub(s.heardAt))})
-		}
-	}
-	return out
+// Empty reports whether there is nothing new.
+func (n *News) Empty() bool {
+	return len(n.Records)+len(n.Seen)+len(n.Losses) == 0
 }
 
 // Since returns what a watcher lacks that has seen everything up to a counter.
-func (g *Gossiper) Since(now time.Time, counter uint64) ([]*wire.Record, []*wire.Seen, []*wire.Loss) {
-	records := g.changed(now, func(m *mark) bool { return m.changed > counter })
-	var losses []*wire.Loss
+func (g *Gossiper) Since(now time.Time, counter uint64) *News {
+	out := &News{Records: g.changed(now, func(m *mark) bool { return m.changed > counter })}
 	for _, l := range g.losses {
 		if l.counter > counter {
-			losses = append(losses, l.report)
+			out.Losses = append(out.Losses, l.report)
 		}
 	}
-	if g.roster <= counter {
-		return records, nil, losses
-	}
-	return records, g.Nodes(now), losses
+	out.Seen, out.Whole = g.nodes.since(now, counter)
+	return out
 }
 
 func (g *Gossiper) changed(now time.Time, wanted func(m *mark) bool) []*wire.Record {
--- a/core/wire/wireconnect/wire.connect.go
+++ b/core/wire/wireconnect/wire.connect.go
@@ -64,6 +64,8 @@
 	ExchangeSubmitProcedure = "/chervilrail.wire.Exchange/Submit"
 	// ExchangeWatchProcedure is the fully-qualified name of the Exchange's Watch RPC.
 	ExchangeWatchProcedure = "/chervilrail.wire.Exchange/Watch"
+	// ExchangeTellProcedure is the fully-qualified name of the Exchange's Tell RPC.
+	ExchangeTellProcedure = "/chervilrail.wire.Exchange/Tell"
 )
 
 // ReplicasClient is a client for the chervilrail.wire.Replicas service.
@@ -455,6 +457,7 @@
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 	Submit(context.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
 	Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error)
+	Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error)
 }
 
 // NewExchangeClient constructs a client for the chervilrail.wire.Exchange service. By default, it
@@ -486,6 +489,12 @@
 			connect.WithSchema(exchangeMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		tell: connect.NewClient[wire.TellRequest, wire.TellResponse](
+			httpClient,
+			baseURL+ExchangeTellProcedure,
+			connect.WithSchema(exchangeMethods.ByName("Tell")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -494,6 +503,7 @@
 	exchange *connect.Client[wire.ExchangeRequest, wire.ExchangeResponse]
 	submit   *connect.Client[wire.SubmitRequest, wire.SubmitResponse]
 	watch    *connect.Client[wire.WatchRequest, wire.WatchResponse]
+	tell     *connect.Client[wire.TellRequest, wire.TellResponse]
 }
 
 // Exchange calls chervilrail.wire.Exchange.Exchange.
@@ -511,11 +521,17 @@
 	return c.watch.CallUnary(ctx, req)
 }
 
+// Tell calls chervilrail.wire.Exchange.Tell.
+func (c *exchangeClient) Tell(ctx context.Context, req *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error) {
+	return c.tell.CallUnary(ctx, req)
+}
+
 // ExchangeHandler is an implementation of the chervilrail.wire.Exchange service.
 type ExchangeHandler interface {
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 	Submit(context.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
 	Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error)
+	Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error)
 }
 
 // NewExchangeHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -543,6 +559,12 @@
 		connect.WithSchema(exchangeMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	exchangeTellHandler := connect.NewUnaryHandler(
+		ExchangeTellProcedure,
+		svc.Tell,
+		connect.WithSchema(exchangeMethods.ByName("Tell")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/chervilrail.wire.Exchange/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ExchangeExchangeProcedure:
@@ -551,6 +573,8 @@
 			exchangeSubmitHandler.ServeHTTP(w, r)
 		case ExchangeWatchProcedure:
 			exchangeWatchHandler.ServeHTTP(w, r)
+		case ExchangeTellProcedure:
+			exchangeTellHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -571,3 +595,7 @@
 func (UnimplementedExchangeHandler) Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilrail.wire.Exchange.Watch is not implemented"))
 }
+
+func (UnimplementedExchangeHandler) Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilrail.wire.Exchange.Tell is not implemented"))
+}
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -32,13 +32,7 @@
 	for _, record := range r.GetRecords() {
 		stale = w.takeRecord(now, record) || stale
 	}
-	if r.GetSeen() != nil {
-		s.nodes = nil
-		for _, seen := range r.GetSeen() {
-			s.nodes = append(s.nodes, seen.GetNode())
-		}
-		stale = true
-	}
+	stale = w.takeNodes(r) || stale
 	stale = w.warmUp(now) || stale
 	if len(r.GetLosses()) > 0 {
 		w.Losses(r.GetLosses())
@@ -61,15 +55,38 @@
 }
 
 func (w *Watcher) takeControllers(r *wire.WatchResponse) {
-	var known []netip.AddrPort
-	for _, text := range r.GetControllers() {
-		if a, err := netip.ParseAddrPort(text); err == nil {
-			known = append(known, a)
+	if known := w.addresses(r.GetControllers()); len(known) > 0 {
+		w.state.controllers = known
+	}
+	w.state.near = w.addresses(r.GetNear())
+}
+
+func (w *Watcher) addresses(texts []string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, text := range texts {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			_ = level.Warn(w.Logger).Log("msg", "controller's address not understood", "address", text, "err", err)
+			continue
 		}
+		out = append(out, a)
 	}
-	if len(known) > 0 {
-		w.state.controllers = known
+	return out
+}
+
+// takeNodes follows the entry instances that share the targets.
+func (w *Watcher) takeNodes(r *wire.WatchResponse) bool {
+	if r.GetWhole() {
+		w.state.nodes = map[string]*wire.Node{}
+	}
+	for _, seen := range r.GetSeen() {
+		n := seen.GetNode()
+		w.state.nodes[n.GetName()] = n
+		if n.GetLost() {
+			delete(w.state.nodes, n.GetName())
+		}
 	}
+	return r.GetWhole() || len(r.GetSeen()) > 0
 }
 
 // takeRouting takes the plan and evacuations if they are newer. A controller that lags, or that came back with an
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -25,8 +25,9 @@
 )
 
 const (
-	// callTimeout is the second that a controller holds a call without news, and a round trip with one loss.
-	callTimeout = 2200 * time.Millisecond
+	// callTimeout is the second that a controller holds a call without news, and a round trip with one loss. A change has
+	// to be in force within 2.5 s, also where a controller has just frozen.
+	callTimeout = 1800 * time.Millisecond
 	// pause is waited after a controller failed or lost touch with the others.
 	pause = 50 * time.Millisecond
 	// shun is how long such a controller is not asked again while there are others: about as long as a lost link
@@ -45,11 +46,9 @@
 	// Changed is called with every new view, by the goroutine that owns the control state.
 	Changed func(v *View)
 
-	view    atomic.Pointer[View]
-	leaving atomic.Bool
-	mu      sync.Mutex
-	reports []*wire.Loss
-	kick    context.CancelFunc
+	view   atomic.Pointer[View]
+	mu     sync.Mutex
+	teller teller
 
 	state  state
 	client *http.Client
@@ -62,15 +61,19 @@
 type state struct {
 	at          netip.AddrPort
 	controllers []netip.AddrPort
-	run         uint64
-	counter     uint64
-	revision    uint64
-	plan        *planner.Table
-	evacuated   []string
-	targets     registrar.Registrar
-	cold        map[string]time.Time
-	nodes       []*wire.Node
-	failing     bool
+	// near are the controllers of this region that the others reach.
+	near []netip.AddrPort
+	// asked is set after the first call.
+	asked     bool
+	run       uint64
+	counter   uint64
+	revision  uint64
+	plan      *planner.Table
+	evacuated []string
+	targets   registrar.Registrar
+	cold      map[string]time.Time
+	nodes     map[string]*wire.Node
+	failing   bool
 	// shunned holds until when a controller that failed is left alone.
 	shunned map[netip.AddrPort]time.Time
 }
@@ -87,10 +90,12 @@
 	w.client = client
 	w.Node.Incarnation = rand.Uint64()
 	w.state.cold = map[string]time.Time{}
+	w.state.nodes = map[string]*wire.Node{}
 	w.state.shunned = map[netip.AddrPort]time.Time{}
 	w.state.controllers = slices.Clone(w.Seeds)
 	w.done = make(chan struct{})
 	w.ctx, w.cancel = context.WithCancel(context.Background())
+	w.teller.start(w)
 	go w.run()
 	return nil
 }
@@ -100,6 +105,7 @@
 	if w.cancel != nil {
 		w.cancel()
 		<-w.done
+		<-w.teller.done
 		w.client.CloseIdleConnections()
 	}
 	return nil
@@ -116,12 +122,6 @@
 // View returns the newest view, or nil before the first.
 func (w *Watcher) View() *View { return w.view.Load() }
 
-// Leave tells the controllers that this instance stops, so that callers are no longer sent here.
-func (w *Watcher) Leave() {
-	w.leaving.Store(true)
-	w.interrupt()
-}
-
 // Reseed replaces the controllers to turn to when none of the known ones answers.
 func (w *Watcher) Reseed(seeds []netip.AddrPort) {
 	w.mu.Lock()
@@ -135,23 +135,6 @@
 	return w.Seeds
 }
 
-// Report passes on that a request was in flight when a target died.
-func (w *Watcher) Report(l *wire.Loss) {
-	w.mu.Lock()
-	w.reports = append(w.reports, l)
-	w.mu.Unlock()
-	w.interrupt()
-}
-
-// interrupt ends the call that waits for news, so that the next one carries ours.
-func (w *Watcher) interrupt() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.kick != nil {
-		w.kick()
-	}
-}
-
 func (w *Watcher) run() {
 	defer close(w.done)
 	for w.ctx.Err() == nil {
@@ -171,20 +154,27 @@
 	if !s.at.IsValid() {
 		s.at = s.controllers[rand.IntN(len(s.controllers))]
 	}
+	w.teller.at.Store(&s.at)
 	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
 	defer cancel()
-	request := w.request(cancel)
 	client := wireconnect.NewExchangeClient(w.client, w.Dialer.URL(s.at))
-	response, err := client.Watch(ctx, connect.NewRequest(request))
+	response, err := client.Watch(ctx, connect.NewRequest(w.request()))
 	if err != nil {
-		return w.failed(err, request.GetLosses(), ctx.Err() == context.Canceled)
+		return w.failed(err)
 	}
-	w.take(time.Now(), response.Msg)
+	s.asked = true
 	if s.failing {
 		s.failing = false
 		_ = level.Info(w.Logger).Log("msg", "controller answers", "controller", s.at)
 	}
+	if response.Msg.GetRun() == 0 {
+		w.takeControllers(response.Msg)
+		w.approach()
+		return true
+	}
+	w.take(time.Now(), response.Msg)
 	if response.Msg.GetLinked() {
+		w.approach()
 		return true
 	}
 	_ = level.Warn(w.Logger).Log("msg", "controller lost touch with the others", "controller", s.at)
@@ -192,36 +182,31 @@
 	return false
 }
 
-func (w *Watcher) request(cancel context.CancelFunc) *wire.WatchRequest {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.kick = cancel
+func (w *Watcher) request() *wire.WatchRequest {
 	s := &w.state
-	node := &wire.Node{
-		Name: w.Node.GetName(), Incarnation: w.Node.GetIncarnation(), Caller: w.Node.GetCaller(),
-		Region: w.Node.GetRegion(), Zone: w.Node.GetZone(),
+	out := &wire.WatchRequest{
 		// Without a plan this instance would refuse every caller that a look-up sends here.
-		Leaving: w.leaving.Load() || s.plan == nil,
+		Node: w.node(s.plan == nil), Run: s.run, Counter: s.counter, Revision: s.revision, First: !s.asked,
 	}
-	out := &wire.WatchRequest{Node: node, Run: s.run, Counter: s.counter, Revision: s.revision, Losses: w.reports}
-	w.reports = nil
 	if s.plan != nil {
 		out.Version = s.plan.Plan.GetVersion()
 	}
 	return out
 }
 
-// failed turns to another controller, unless the call was ended from here.
-func (w *Watcher) failed(err error, losses []*wire.Loss, interrupted bool) bool {
+// node describes this instance; blind ones are not named to callers.
+func (w *Watcher) node(blind bool) *wire.Node {
+	return &wire.Node{
+		Name: w.Node.GetName(), Incarnation: w.Node.GetIncarnation(), Caller: w.Node.GetCaller(),
+		Region: w.Node.GetRegion(), Zone: w.Node.GetZone(), Leaving: blind || w.teller.leaving.Load(),
+	}
+}
+
+// failed turns to another controller.
+func (w *Watcher) failed(err error) bool {
 	if w.ctx.Err() != nil {
 		return false
 	}
-	if interrupted {
-		return true
-	}
-	w.mu.Lock()
-	w.reports = append(w.reports, losses...)
-	w.mu.Unlock()
 	if !w.state.failing {
 		w.state.failing = true
 		_ = level.Warn(w.Logger).Log("msg", "controller does not answer", "controller", w.state.at, "err", err)
@@ -230,17 +215,40 @@
 	return false
 }
 
-// move chooses another controller, of those known and the seeds: all known ones may have been replaced while this
-// instance was cut off. What the next one knows is counted anew.
+// approach turns to a controller of this region, if the present one is elsewhere and one can be reached: every change
+// reaches every entry instance, and links between regions are dear.
+func (w *Watcher) approach() {
+	s := &w.state
+	if slices.Contains(s.near, s.at) {
+		return
+	}
+	if near := w.usable(time.Now(), s.near); len(near) > 0 {
+		w.turn(near)
+	}
+}
+
+// usable leaves out the controllers that failed lately.
+func (w *Watcher) usable(now time.Time, list []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(list), func(a netip.AddrPort) bool { return now.Before(w.state.shunned[a]) })
+}
+
+// turn takes one of the controllers. What it knows is counted anew.
+func (w *Watcher) turn(list []netip.AddrPort) {
+	w.state.at = list[rand.IntN(len(list))]
+	w.state.run, w.state.counter = 0, 0
+}
+
+// move chooses another controller, a near one if there is any, else of those known and the seeds: all known ones may
+// have been replaced while this instance was cut off.
 func (w *Watcher) move() {
 	s := &w.state
 	now := time.Now()
 	s.shunned[s.at] = now.Add(shun)
 	all := append(slices.Clone(s.controllers), w.seeds()...)
-	others := slices.DeleteFunc(slices.Clone(all), func(a netip.AddrPort) bool { return now.Before(s.shunned[a]) })
-	if len(others) == 0 {
-		others = all
+	for _, list := range [][]netip.AddrPort{w.usable(now, s.near), w.usable(now, all), all} {
+		if len(list) > 0 {
+			w.turn(list)
+			return
+		}
 	}
-	s.at = others[rand.IntN(len(others))]
-	s.run, s.counter = 0, 0
 }
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -25,16 +25,40 @@
 	mu     sync.Mutex
 	answer *wire.WatchResponse
 	asked  []*wire.WatchRequest
+	told   []*wire.TellRequest
+	// slow is how long an answer takes.
+	slow time.Duration
+}
+
+func (c *controller) Tell(
+	_ context.Context, r *connect.Request[wire.TellRequest],
+) (*connect.Response[wire.TellResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = append(c.told, r.Msg)
+	return connect.NewResponse(&wire.TellResponse{}), nil
+}
+
+// losses counts the reports that were told.
+func (c *controller) losses() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, r := range c.told {
+		n += len(r.GetLosses())
+	}
+	return n
 }
 
 func (c *controller) Watch(
 	_ context.Context, r *connect.Request[wire.WatchRequest],
 ) (*connect.Response[wire.WatchResponse], error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.asked = append(c.asked, r.Msg)
-	time.Sleep(5 * time.Millisecond)
-	return connect.NewResponse(c.answer), nil
+	response, slow := c.answer, c.slow
+	c.mu.Unlock()
+	time.Sleep(slow + 5*time.Millisecond)
+	return connect.NewResponse(response), nil
 }
 
 func (c *controller) set(answer *wire.WatchResponse) {
@@ -202,3 +226,60 @@
 	is.True(c.asked[0].GetNode().GetLeaving())
 	is.True(!c.asked[len(c.asked)-1].GetNode().GetLeaving())
 }
+
+// Targets die by the dozen and every request that was in flight is reported, while the nearest controller that is left
+// is far away. The reports must not keep the plan from coming: callers would be sent by an old one for seconds after a
+// change was accepted.
+func TestReportsDoNotKeepNewsAway(t *testing.T) {
+	is := is.New(t)
+	c, address := serve(t, answer(5, 3, true))
+	w := begin(t, address)
+	until(t, func() bool { return version(w) == 3 })
+	c.mu.Lock()
+	c.slow = 100 * time.Millisecond
+	c.mu.Unlock()
+	c.set(answer(6, 4, true))
+	reports := 0
+	until(t, func() bool {
+		w.Report(&wire.Loss{Target: "t1", Incarnation: uint64(reports)})
+		reports++
+		return version(w) == 4
+	})
+	is.True(reports < 100)
+	until(t, func() bool { return c.losses() >= reports })
+}
+
+// The controller that is asked first is in another region. It names one that is nearer and sends nothing else; after
+// that, news comes from the near one, and no longer loads the links between regions.
+func TestNearControllerIsPreferred(t *testing.T) {
+	is := is.New(t)
+	near, second := serve(t, answer(6, 4, true))
+	nearest := &wire.WatchResponse{Near: []string{second.String()}, Controllers: []string{second.String()}}
+	far, first := serve(t, nearest)
+	w := begin(t, first)
+	until(t, func() bool { return version(w) == 4 && near.count() > 10 })
+	is.Equal(far.count(), 1)
+	is.True(far.asked[0].GetFirst())
+	is.True(!near.asked[0].GetFirst())
+}
+
+// One entry instance after the other is told as changed or gone. Each is counted once among those that share the targets,
+// or each would take too much or too little of them.
+func TestChangedInstancesAreCounted(t *testing.T) {
+	is := is.New(t)
+	all := answer(5, 3, true)
+	all.Whole = true
+	for _, name := range []string{"e1", "e2", "e3"} {
+		all.Seen = append(all.Seen, &wire.Seen{Node: &wire.Node{Name: name}})
+	}
+	c, address := serve(t, all)
+	w := begin(t, address)
+	until(t, func() bool { return w.View() != nil && w.View().Entries == 3 })
+	gone := &wire.Seen{Node: &wire.Node{Name: "e2", Lost: true}}
+	more := &wire.Seen{Node: &wire.Node{Name: "e4"}}
+	c.set(&wire.WatchResponse{Run: 1, Counter: 6, Linked: true, Revision: 5, Seen: []*wire.Seen{gone}})
+	until(t, func() bool { return w.View().Entries == 2 })
+	c.set(&wire.WatchResponse{Run: 1, Counter: 7, Linked: true, Revision: 5, Seen: []*wire.Seen{more}})
+	until(t, func() bool { return w.View().Entries == 3 })
+	is.True(c.count() > 2)
+}
