A randomized soak of the real programs, with a relay that harms connections

It exits non-zero with seed, promise and the folder of logs.

The trial of silent connections uses the relay instead of one of its own.

--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -32,9 +32,11 @@
 // Run runs the program and returns its exit code.
 func Run(args []string) int {
 	root := &cli.Command{
-		Name:     "standin",
-		Usage:    "play targets and callers for tests",
-		Commands: []*cli.Command{targetCommand(), demoCommand(), measureCommand(), slopesCommand(), experimentCommand()},
+		Name:  "standin",
+		Usage: "play targets and callers for tests",
+		Commands: []*cli.Command{
+			targetCommand(), demoCommand(), measureCommand(), slopesCommand(), experimentCommand(), soakCommand(),
+		},
 	}
 	if err := root.Run(context.Background(), args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
--- /dev/null
+++ b/standin/internal/cli/soak.go
@@ -0,0 +1,82 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"chervilrail.example/standin/internal/soaker"
+)
+
+const (
+	soakLength = time.Minute
+	// firstSoakNet is the first of the loopback networks that soaks use, one each.
+	firstSoakNet = 200
+	soakNets     = 50
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run the programs, harm them by a seed, and check what is seen from outside",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the first run"},
+			&cli.IntFlag{Name: "runs", Value: 1, Usage: "how many seeds in a row"},
+			&cli.DurationFlag{Name: "for", Value: soakLength, Usage: "how long faults go on"},
+			&cli.StringFlag{Name: "programs", Value: "bin", Usage: "`FOLDER` of the built programs"},
+			&cli.StringFlag{Name: "folder", Value: ".run/soak", Usage: "`FOLDER` for settings, data and logs"},
+			&cli.BoolFlag{Name: "quiet", Usage: "print no faults"},
+		},
+		Action: soak,
+	}
+}
+
+func soak(ctx context.Context, c *cli.Command) error {
+	bad := 0
+	for seed := c.Uint64("seed"); seed < c.Uint64("seed")+uint64(c.Int("runs")); seed++ {
+		broken, err := soakOnce(ctx, c, seed)
+		if err != nil {
+			return err
+		}
+		if broken > 0 {
+			bad++
+		}
+	}
+	if bad > 0 {
+		return fmt.Errorf("promises broken in %d of %d runs", bad, c.Int("runs"))
+	}
+	return nil
+}
+
+func soakOnce(ctx context.Context, c *cli.Command, seed uint64) (int, error) {
+	folder, err := filepath.Abs(filepath.Join(c.String("folder"), fmt.Sprint(seed)))
+	if err != nil {
+		return 0, err
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		return 0, err
+	}
+	s := &soaker.Soak{
+		Seed: seed, Length: c.Duration("for"), Programs: c.String("programs"), Folder: folder,
+		Net: byte(firstSoakNet + seed%soakNets),
+		Print: func(line string) {
+			if !c.Bool("quiet") {
+				fmt.Println(line)
+			}
+		},
+	}
+	broken, err := s.Run(ctx)
+	if err != nil {
+		return 0, err
+	}
+	sent, whole := s.Counts()
+	fmt.Printf("seed %d: %d promises broken, %d of %d requests served, logs in %s\n", seed, len(broken), whole, sent, folder)
+	for _, line := range broken {
+		fmt.Println("  " + line)
+	}
+	return len(broken), nil
+}
--- /dev/null
+++ b/standin/internal/trials/soak_test.go
@@ -0,0 +1,41 @@
+package trials
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/standin/internal/soaker"
+)
+
+// soakSeeds are runs that every change has to pass: the first few, and each that ever broke a promise.
+var soakSeeds = []uint64{1, 2}
+
+// Processes are killed, frozen, stopped and restarted while targets die or leave, links are harmed and the plan changes,
+// as the seed has it. Callers get their own whole answers or true refusals, nothing runs twice that must not, and no
+// accepted change is lost.
+func TestSoak(t *testing.T) {
+	for _, seed := range soakSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			absolute, err := filepath.Abs(programs)
+			is.NoErr(err)
+			s := &soaker.Soak{
+				Seed: seed, Length: 6 * time.Second, Programs: absolute, Folder: t.TempDir(), Net: byte(firstNet + nets.Add(1)),
+				Print: func(line string) { t.Log(line) },
+			}
+			broken, err := s.Run(context.Background())
+			is.NoErr(err)
+			for _, line := range broken {
+				t.Error(line)
+			}
+			sent, whole := s.Counts()
+			t.Logf("%d of %d requests served", whole, sent)
+			is.True(sent > 100)
+		})
+	}
+}
--- a/standin/internal/trials/traffic_test.go
+++ b/standin/internal/trials/traffic_test.go
@@ -242,9 +242,9 @@
 	r := newRelay(t, s)
 	is.NoErr(s.Backends[0].Stop(patience))
 	until(t, "the entry instance uses the relay", func() bool {
-		return get(s, "listings", 0, "/events").Status == http.StatusOK && r.count() > 0
+		return get(s, "listings", 0, "/events").Status == http.StatusOK && r.Count() > 0
 	})
-	r.silence()
+	r.Silence()
 	began := time.Now()
 	a := get(s, "listings", 0, "/events")
 	is.Equal(a.Status, http.StatusOK)
