--- a/standin/internal/trials/relay_test.go
+++ b/standin/internal/trials/relay_test.go
@@ -41,4 +41,3 @@
 	})
 	return r
 }
-
