Regions' loads leave out the request that reports them; chance is bounded more closely

Change: reports count without the request itself; waits are estimated from the rate of placements; the first host's chance of being warm is not learned, since a wait there looks like a cold object; a region may be ahead of its share by half of what it was.

--- a/core/placer/hits.go
+++ b/core/placer/hits.go
@@ -37,10 +37,11 @@
 	return 1 - h.misses[min(rank, ranks-1)]
 }
 
-// see takes how a request ended.
+// see takes how a request ended. The first host's chance stays as it is: a wait at the target looks like a cold object,
+// and would send requests away from the one place where the object is warm.
 func (h *hits) see(o Outcome) {
 	h.init()
-	if o.Took == 0 || o.Rank < 0 {
+	if o.Took == 0 || o.Rank < 1 {
 		return
 	}
 	miss := 1.0
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -39,6 +39,8 @@
 	smoothing = 8
 	// firstWork is taken for the service time before any has been seen.
 	firstWork = 200 * time.Millisecond
+	// maxGap bounds what one long time without a placement says of the next ones.
+	maxGap = time.Second
 	// noTargetRetry is after what a caller is asked back when a service has no target for it: about as long as a target
 	// takes to announce itself.
 	noTargetRetry = time.Second
@@ -110,6 +112,9 @@
 	byName  map[string]*Target
 	queue   []*Ticket
 	work    time.Duration
+	// gap is the smoothed time between two placements while requests waited, zero before the first; placedAt is the last.
+	gap      time.Duration
+	placedAt time.Time
 	// share is how many slots there are for each entry instance.
 	share float64
 	// urgent is the most urgent priority seen since the control state last changed.
@@ -231,8 +236,22 @@
 
 func (t *Ticket) onTime(now time.Time) bool { return !now.Add(t.Warm).After(t.Aim) }
 
+// expectedWait estimates how long a ticket would wait for a slot: as long as those ahead of it take at the rate at which
+// waiting requests were placed lately, or at that of this instance's part of the slots if none has waited yet.
 func (p *Placer) expectedWait(now time.Time, t *Ticket) time.Duration {
-	return time.Duration(float64(p.usual()) * float64(p.ahead(now, t)+1) / max(1, p.share))
+	gap := p.gap
+	if gap == 0 {
+		gap = time.Duration(float64(p.usual()) / max(1, p.share))
+	}
+	return gap * time.Duration(p.ahead(now, t)+1)
+}
+
+// follow notes a placement.
+func (p *Placer) follow(now time.Time) {
+	if len(p.queue) > 0 && !p.placedAt.IsZero() {
+		p.gap += (min(maxGap, now.Sub(p.placedAt)) - p.gap) / smoothing
+	}
+	p.placedAt = now
 }
 
 func (p *Placer) usual() time.Duration {
@@ -305,6 +324,7 @@
 	target := p.choose(now, t)
 	if target != nil {
 		target.start(now)
+		p.follow(now)
 		p.spread.sent(target.Region)
 	}
 	return target
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -292,11 +292,14 @@
 	if target.Region != e.region {
 		way = farOneWay
 	}
-	finish := func(load messenger.Load, ran, warm bool) {
+	sent := r.now
+	finish := func(load messenger.Load, ran bool) {
 		r.after(way, func() {
-			outcome := Outcome{Load: &load, Failed: !ran, Rank: d.Rank, Warm: warm}
+			outcome := Outcome{Load: &load, Failed: !ran, Rank: d.Rank}
 			if ran {
-				outcome.Took = r.now.Sub(arrived)
+				// As an entry instance sees it: a wait at the target looks like a cold object.
+				outcome.Took = r.now.Sub(sent) - 2*way
+				outcome.Warm = outcome.Took < k.work*2/3
 			}
 			for _, placed := range e.placer.Done(r.now, target, outcome) {
 				placed.Ticket.Decided <- placed.Decision
@@ -319,10 +322,10 @@
 	}
 }
 
-func (w *worker) take(r *replay, k kind, key string, finish func(messenger.Load, bool, bool)) {
+func (w *worker) take(r *replay, k kind, key string, finish func(messenger.Load, bool)) {
 	if w.running >= w.spec.Slots {
 		if len(w.waiting) >= workerQueue {
-			finish(w.load(), false, false)
+			finish(w.load(), false)
 			return
 		}
 		w.waiting = append(w.waiting, func() { w.work(r, k, key, finish) })
@@ -331,7 +334,7 @@
 	w.work(r, k, key, finish)
 }
 
-func (w *worker) work(r *replay, k kind, key string, finish func(messenger.Load, bool, bool)) {
+func (w *worker) work(r *replay, k kind, key string, finish func(messenger.Load, bool)) {
 	w.running++
 	span := time.Duration(float64(k.work) * (1 + 0.15*r.random.NormFloat64()))
 	warm := w.touch(key, r.world.keeps)
@@ -341,7 +344,7 @@
 	r.after(max(time.Millisecond, span), func() {
 		load := w.load()
 		w.running--
-		finish(load, true, warm)
+		finish(load, true)
 		if len(w.waiting) > 0 {
 			next := w.waiting[0]
 			w.waiting = w.waiting[1:]
@@ -408,7 +411,7 @@
 			placed := newReplay(seed, false, w)
 			placed.run(30*time.Second, 0.55)
 			t.Logf("worst shift %.3f", placed.worstShift())
-			is.True(placed.worstShift() < 0.17)
+			is.True(placed.worstShift() < 0.15)
 			for _, k := range w.kinds {
 				n, p := naive.score[k.name], placed.score[k.name]
 				t.Logf("%s: on time %.3f, naive %.3f; refused %.3f, naive %.3f", k.name,
@@ -421,6 +424,30 @@
 	}
 }
 
+// A region with few callers sends some more requests to one region now and some more to another two seconds later, by
+// chance alone. Left to itself, that adds up to a move of a fifth of its requests at once, which the links between
+// regions are not planned for.
+func TestChanceIsNoMove(t *testing.T) {
+	for _, load := range []float64{0.8, 1, 1.4} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			is := is.New(t)
+			worst := 0.0
+			for seed := uint64(1); seed <= 10; seed++ {
+				w := eventNight()
+				w.apart = true
+				for i := range w.kinds {
+					w.kinds[i].rate *= load
+				}
+				r := newReplay(seed, false, w)
+				r.run(30*time.Second, 0.55)
+				worst = max(worst, r.worstShift())
+			}
+			t.Logf("worst shift %.3f", worst)
+			is.True(worst < 0.15)
+		})
+	}
+}
+
 // Two and a half times as many callers come at once. Not all can be served; the more urgent kind must not be served
 // worse than the less urgent one, and slots must not go to runs that start cold or end late. Without the rules for
 // scarce slots, 0.41 of browse and 0.60 of pay are on time here; without the bound on what moves between regions, 0.65
--- a/core/placer/spread.go
+++ b/core/placer/spread.go
@@ -17,9 +17,10 @@
 	// by staying away, while the next peak of the home region is met by shares that can take it.
 	homeRate = 0.03
 	// playPart is how far a region may be ahead of its share, as a part of two seconds' requests; minPlay is the least,
-	// in requests.
-	playPart = 0.04
-	minPlay  = 2
+	// in requests. In 90 replayed event nights at 0.8 to 1.4 of their load, the worst move in two seconds is 0.14 of a
+	// region's requests; 0.21 with 0.04 and 2. From 1 on downwards, half of the requests would not be served on time.
+	playPart = 0.02
+	minPlay  = 1.4
 	// gapParts is the weight of the newest gap between requests in their rate: a fiftieth.
 	gapParts = 50
 	// leak is the time in which what a region is ahead or behind of its share loses half of its weight: moves between
@@ -130,11 +131,13 @@
 	return max(minPlay, playPart*2*s.rate*math.Sqrt(max(1, s.entries/evenEntries)))
 }
 
-// see takes a target's report.
+// see takes a target's report. It counts the request that it came with, which would make every target look busy.
 func (s *spread) see(t *Target, l *messenger.Load) {
-	if s.loads != nil && l.Slots > 0 {
-		s.loads[t.Region] += (float64(l.Running+l.Waiting)/float64(l.Slots) - s.loads[t.Region]) / loadParts
+	if s.loads == nil || l.Slots <= 0 {
+		return
 	}
+	load := float64(max(0, l.Running+l.Waiting-1)) / float64(l.Slots)
+	s.loads[t.Region] += (load - s.loads[t.Region]) / loadParts
 }
 
 // arrive counts a request, and moves the shares a little to where there is room.
