A slow spell no longer has requests refused after it is over

Cause: the wait was judged by the time between the last placements of requests that waited. After some seconds with hardly any, the first request that met a full host was refused at once, none waited, and the figure could not change. Change: it fades within a second into what this instance's part of the slots allows. TestSlowSpellIsForgotten fails before (second part).

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -41,6 +41,8 @@
 	firstWork = 200 * time.Millisecond
 	// maxGap bounds what one long time without a placement says of the next ones.
 	maxGap = time.Second
+	// gapLife is the time in which what the last placements say of the wait loses two thirds of its weight.
+	gapLife = time.Second
 	// noTargetRetry is after what a caller is asked back when a service has no target for it: about as long as a target
 	// takes to announce itself.
 	noTargetRetry = time.Second
@@ -112,8 +114,9 @@
 	byName  map[string]*Target
 	queue   []*Ticket
 	work    time.Duration
-	// gap is the smoothed time between two placements while requests waited, zero before the first; placedAt is the last.
+	// gap is the smoothed time between two placements while requests waited, as of gapAt; placedAt is the last one.
 	gap      time.Duration
+	gapAt    time.Time
 	placedAt time.Time
 	// share is how many slots there are for each entry instance.
 	share float64
@@ -237,19 +240,20 @@
 func (t *Ticket) onTime(now time.Time) bool { return !now.Add(t.Warm).After(t.Aim) }
 
 // expectedWait estimates how long a ticket would wait for a slot: as long as those ahead of it take at the rate at which
-// waiting requests were placed lately, or at that of this instance's part of the slots if none has waited yet.
+// waiting requests were placed lately. That fades into the rate of this instance's part of the slots: remembered for
+// good, one slow spell would have requests refused, none would wait, and nothing would show that it is over.
 func (p *Placer) expectedWait(now time.Time, t *Ticket) time.Duration {
-	gap := p.gap
-	if gap == 0 {
-		gap = time.Duration(float64(p.usual()) / max(1, p.share))
-	}
-	return gap * time.Duration(p.ahead(now, t)+1)
+	weight := fade(now.Sub(p.gapAt), gapLife)
+	even := float64(p.usual()) / max(1, p.share)
+	gap := weight*float64(p.gap) + (1-weight)*even
+	return time.Duration(gap * float64(p.ahead(now, t)+1))
 }
 
 // follow notes a placement.
 func (p *Placer) follow(now time.Time) {
 	if len(p.queue) > 0 && !p.placedAt.IsZero() {
 		p.gap += (min(maxGap, now.Sub(p.placedAt)) - p.gap) / smoothing
+		p.gapAt = now
 	}
 	p.placedAt = now
 }
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -114,3 +114,38 @@
 	}
 	is.True(!start.Before(p.spread.free))
 }
+
+// For some seconds hardly any request was placed, because targets were down. They are back and have room; a request that
+// meets a full one for a moment waits for it. Judged by the slow spell, it would be refused at once, and so would all
+// that come after it.
+func TestSlowSpellIsForgotten(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(spec("a"))
+	now := start
+	at := func(d time.Duration) *Ticket {
+		k := ticket(0)
+		k.Aim, k.Deadline = now.Add(300*time.Millisecond), now.Add(d)
+		return k
+	}
+	running, _ := p.Offer(now, at(time.Minute))
+	for range 20 {
+		_, decided := p.Offer(now, at(time.Minute))
+		is.True(!decided)
+	}
+	for range 10 {
+		now = now.Add(time.Second)
+		placed := p.Done(now, running.Target, Outcome{Took: 100 * time.Millisecond})
+		is.Equal(len(placed), 1)
+		running = placed[0].Decision
+	}
+	p.queue = nil
+	t.Run("still slow", func(t *testing.T) {
+		decision, decided := p.Offer(now, at(800*time.Millisecond))
+		is.True(decided && decision.Target == nil)
+	})
+	t.Run("over", func(t *testing.T) {
+		now = now.Add(10 * time.Second)
+		_, decided := p.Offer(now, at(800*time.Millisecond))
+		is.True(!decided)
+	})
+}
