Requests come home after all had left; one that its hosts turned away goes elsewhere

Cause, found on reading the change: a region that all requests had left sends no more reports, so it looked crowded for ever, and a share of nothing was taken for a service without targets at home. And with few slots free, a request whose hosts had all turned it away was kept for them alone and refused. Change: a region's load holds for 2 s and fades then; hosts bind a request only while one of them may take it. TestRequestsComeHomeAfterAllHadLeft and TestRequestThatItsHostTurnedAwayGoesElsewhere fail before.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -270,7 +270,7 @@
 	t.end(now, o)
 	if o.Load != nil {
 		p.crowd.see(now, t)
-		p.spread.see(t, o.Load)
+		p.spread.see(now, t, o.Load)
 	}
 	p.hits.see(o)
 	if o.Unreachable {
@@ -338,7 +338,7 @@
 func (p *Placer) choose(now time.Time, t *Ticket) *Target {
 	hosts := p.hosts.of(t.Key)
 	candidates := p.targets
-	if p.load.scarce && anyUsable(now, hosts) {
+	if p.load.scarce && p.anyUsable(now, t, hosts) {
 		candidates = hosts
 	}
 	var best *Target
@@ -382,9 +382,9 @@
 	return held / max(1, slots)
 }
 
-// anyUsable reports whether some of the targets may be sent to at all.
-func anyUsable(now time.Time, list []*Target) bool {
-	return slices.ContainsFunc(list, func(t *Target) bool { return t.usable(now) })
+// anyUsable reports whether a request may go to some of the targets at all now.
+func (p *Placer) anyUsable(now time.Time, t *Ticket, list []*Target) bool {
+	return slices.ContainsFunc(list, func(target *Target) bool { return p.allowed(target, t) && target.usable(now) })
 }
 
 // cost estimates the time to the answer; false means that the target has no room for one more. Chance is how likely the
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -115,6 +115,23 @@
 	is.True(!start.Before(p.spread.free))
 }
 
+// Free slots are few, and the target that keeps a request's object warm has just turned it away. Kept for that target
+// alone, the request would wait in vain and be refused, though another one could run it.
+func TestRequestThatItsHostTurnedAwayGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(spec("a"), spec("b"), spec("c"))
+	busy := ticket(0)
+	busy.Key = "other"
+	_, decided := p.Offer(start, busy)
+	is.True(decided)
+	k := ticket(0)
+	k.Key = "object"
+	k.Tried = []string{p.hosts.of(k.Key)[0].Name}
+	decision, decided := p.Offer(start, k)
+	is.True(p.load.scarce)
+	is.True(decided && decision.Target != nil)
+}
+
 // For some seconds hardly any request was placed, because targets were down. They are back and have room; a request that
 // meets a full one for a moment waits for it. Judged by the slow spell, it would be refused at once, and so would all
 // that come after it.
--- a/core/placer/spread.go
+++ b/core/placer/spread.go
@@ -37,6 +37,11 @@
 	lighter = 0.7
 	// loadParts is the weight of the newest report in a region's load.
 	loadParts = 20
+	// loadHold is how long a region's load holds without a report, and loadLife the time in which it then loses two
+	// thirds of its weight. A region that requests have left altogether would otherwise look crowded for ever, and they
+	// would never come home. Fading at once would make regions look emptier the less an instance hears of them.
+	loadHold = 2 * time.Second
+	loadLife = 2 * time.Second
 	// disturbance is how long a failure or a change of targets lets requests move at once: capacity was lost or
 	// found, and slow steps would refuse what can be served.
 	disturbance = 4 * time.Second
@@ -51,7 +56,7 @@
 	// per slot that its targets reported.
 	shares map[string]float64
 	owed   map[string]float64
-	loads  map[string]float64
+	loads  map[string]regionLoad
 	// entries is how many entry instances a region has.
 	entries float64
 	at      time.Time
@@ -75,7 +80,7 @@
 	}
 	s.regions = regions
 	s.shares = firstShares(home, slots)
-	s.owed, s.loads = map[string]float64{}, map[string]float64{}
+	s.owed, s.loads = map[string]float64{}, map[string]regionLoad{}
 }
 
 // firstShares keeps at home what the home region's slots can take if all regions ask alike, and sends the rest where
@@ -131,13 +136,25 @@
 	return max(minPlay, playPart*2*s.rate*math.Sqrt(max(1, s.entries/evenEntries)))
 }
 
+// regionLoad is the smoothed number of requests per slot of a region's targets, as of a time.
+type regionLoad struct {
+	perSlot float64
+	at      time.Time
+}
+
+func (s *spread) load(now time.Time, region string) float64 {
+	l := s.loads[region]
+	return l.perSlot * fade(now.Sub(l.at)-loadHold, loadLife)
+}
+
 // see takes a target's report. It counts the request that it came with, which would make every target look busy.
-func (s *spread) see(t *Target, l *messenger.Load) {
+func (s *spread) see(now time.Time, t *Target, l *messenger.Load) {
 	if s.loads == nil || l.Slots <= 0 {
 		return
 	}
-	load := float64(max(0, l.Running+l.Waiting-1)) / float64(l.Slots)
-	s.loads[t.Region] += (load - s.loads[t.Region]) / loadParts
+	reported := float64(max(0, l.Running+l.Waiting-1)) / float64(l.Slots)
+	old := s.load(now, t.Region)
+	s.loads[t.Region] = regionLoad{perSlot: old + (reported-old)/loadParts, at: now}
 }
 
 // arrive counts a request, and moves the shares a little to where there is room.
@@ -152,7 +169,7 @@
 	for _, r := range s.regions {
 		s.owed[r] *= kept
 	}
-	s.step(elapsed.Seconds())
+	s.step(now, elapsed.Seconds())
 }
 
 // count follows the rate of requests from the time between two.
@@ -170,15 +187,17 @@
 
 // step moves the shares for a part of a second: away from a crowded home region to the lightest one, or home again from
 // the heaviest.
-func (s *spread) step(seconds float64) {
-	lightest, heaviest := s.others()
+func (s *spread) step(now time.Time, seconds float64) {
+	if !slices.Contains(s.regions, s.home) {
+		return
+	}
+	lightest, heaviest := s.others(now)
 	if lightest == "" {
 		return
 	}
-	home := s.loads[s.home]
+	home := s.load(now, s.home)
 	switch {
-	case s.shares[s.home] == 0:
-	case home > crowded && s.loads[lightest] < lighter*home:
+	case home > crowded && s.load(now, lightest) < lighter*home:
 		s.move(s.home, lightest, moveRate*seconds)
 	case home < roomy:
 		s.move(heaviest, s.home, homeRate*seconds)
@@ -186,15 +205,15 @@
 }
 
 // others returns the regions but the home one with the least load, and with the most of those that have a share.
-func (s *spread) others() (lightest, heaviest string) {
+func (s *spread) others(now time.Time) (lightest, heaviest string) {
 	for _, r := range s.regions {
 		if r == s.home {
 			continue
 		}
-		if lightest == "" || s.loads[r] < s.loads[lightest] {
+		if lightest == "" || s.load(now, r) < s.load(now, lightest) {
 			lightest = r
 		}
-		if s.shares[r] > 0 && (heaviest == "" || s.loads[r] > s.loads[heaviest]) {
+		if s.shares[r] > 0 && (heaviest == "" || s.load(now, r) > s.load(now, heaviest)) {
 			heaviest = r
 		}
 	}
--- a/core/placer/spread_test.go
+++ b/core/placer/spread_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"chervilrail.example/core/messenger"
 )
 
 // unevenSpecs are the targets of three regions, of which the first has too few for its callers.
@@ -47,3 +49,25 @@
 		assertShare(t, p, "few", 0.375)
 	})
 }
+
+// The home region was so full that all its requests moved away. Nothing is heard of its targets then, and what was heard
+// last must not keep the requests away when it has long been empty: each would go on to pay for the way to another region.
+func TestRequestsComeHomeAfterAllHadLeft(t *testing.T) {
+	is := is.New(t)
+	p := &Placer{Region: "few", Zone: "few"}
+	p.Update(start.Add(-time.Minute), unevenSpecs(), 3)
+	s := &p.spread
+	home := p.byName["few-0"]
+	now := start
+	for s.shares["few"] > 0 && now.Sub(start) < time.Minute {
+		now = now.Add(10 * time.Millisecond)
+		s.see(now, home, &messenger.Load{Running: 6, Waiting: 6, Slots: 6})
+		s.arrive(now)
+	}
+	is.Equal(s.shares["few"], 0.0)
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		s.arrive(now)
+	}
+	is.True(s.shares["few"] > 0.3)
+}
