--- a/standin/internal/cli/soak.go
+++ b/standin/internal/cli/soak.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -36,8 +38,10 @@
 }
 
 func soak(ctx context.Context, c *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	bad := 0
-	for seed := c.Uint64("seed"); seed < c.Uint64("seed")+uint64(c.Int("runs")); seed++ {
+	for seed := c.Uint64("seed"); seed < c.Uint64("seed")+uint64(c.Int("runs")) && ctx.Err() == nil; seed++ {
 		broken, err := soakOnce(ctx, c, seed)
 		if err != nil {
 			return err
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -90,6 +90,9 @@
 	running := 0
 	for _, f := range schedule(s.Seed, s.Length) {
 		time.Sleep(time.Until(start.Add(f.at)))
+		if ctx.Err() != nil {
+			break
+		}
 		s.Print(fmt.Sprintf("%6.2f s  %s %d for %s", time.Since(start).Seconds(), f.kind, f.which, f.span))
 		running++
 		go func() {
