--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,8 @@
 # Measures the figures of docs/MEASUREMENTS.md on a local system.
 measure: build
 	@./bin/standin measure --programs bin --catalogue examples/steppe.ini --folder .run/measure
+
+# Runs the real programs under faults drawn from a seed: make faults SEED=7 RUNS=5.
+.PHONY: faults
+faults: build
+	@./bin/standin soak --seed $(or $(SEED),1) --runs $(or $(RUNS),5)
