--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -3,9 +3,13 @@
 // Offer, Done and Tick return what they decided.
 //
 // It answers a load that asks for more slots than there are, from callers of several urgencies, of targets that
-// work faster on objects they handled lately. Each object has a favourite target in each region, and goes where it is
-// expected to be done first. Few requests may wait at a target; the others wait here, where a more urgent one can
-// overtake them. Room goes first to requests that can still be answered on time, most urgent first.
+// work faster on objects they handled lately. Each object has a host in each region, the target that is to keep it warm,
+// and goes where it is expected to be done first: mostly to its first host. Few requests may wait at a target; the others
+// wait here, where a more urgent one can overtake them. Room goes first to requests that can still be answered on time,
+// most urgent first.
+//
+// A file each: hosts places objects, hits learns how likely they are warm, crowd stands in for what is not known of other
+// instances' requests, spread keeps the parts that go to each region from jumping, target holds what is known of one.
 package placer
 
 import (
