The teller reads a copy of the watched address; unused state of the soak out

Found on the last reading: the teller was given the address of a field that the watching goroutine changes, so its calls could read it half written. It gets a copy of its own; behaviour is the same otherwise. The soak's witness kept the end of freezes and never read it; its checks are unchanged. Run: the watcher's tests with -race, vet and linter of the touched packages.

--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -154,7 +154,8 @@
 	if !s.at.IsValid() {
 		s.at = s.controllers[rand.IntN(len(s.controllers))]
 	}
-	w.teller.at.Store(&s.at)
+	at := s.at // a copy, for the teller reads it while this goroutine turns to another controller
+	w.teller.at.Store(&at)
 	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
 	defer cancel()
 	client := wireconnect.NewExchangeClient(w.client, w.Dialer.URL(s.at))
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -151,7 +151,7 @@
 
 // freeze lets an entry instance stand still. What it had in hand reaches targets late.
 func (s *Soak) freeze(p *starter.Process, span time.Duration) {
-	s.witness.froze(time.Now().Add(span + drainTime))
+	s.witness.froze()
 	p.Freeze()
 	time.Sleep(span)
 	p.Thaw()
--- a/standin/internal/soaker/witness.go
+++ b/standin/internal/soaker/witness.go
@@ -32,8 +32,6 @@
 	whole    int
 	acked    int
 	left     []departure
-	// frozen is the end of the last time that an entry instance stood still.
-	frozen time.Time
 }
 
 // departure is a target whose leaving was acknowledged.
@@ -119,13 +117,10 @@
 	w.left = append(w.left, departure{target: t, at: at})
 }
 
-// froze notes that an entry instance stands still until an end: what it had in hand may reach targets that left.
-func (w *witness) froze(until time.Time) {
+// froze notes that an entry instance stands still: what it had in hand may reach targets that have just left.
+func (w *witness) froze() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if until.After(w.frozen) {
-		w.frozen = until
-	}
 	for i := range w.left {
 		if time.Since(w.left[i].at) < 2*drainTime {
 			w.left[i].excuse = true
