--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -159,7 +159,7 @@
 	}
 	exchange := &exchanger.Exchanger{
 		Self: settings.Name, Region: settings.Region, Mind: mind, Dialer: &dialer.Dialer{Keys: controlKeys, Plain: true},
-		Logger: logs,
+		Shelf: &storer.Hosts{Folder: settings.Folder}, Logger: logs,
 	}
 	mind.Changed = exchange.Wake
 	change := &changer.Changer{Mind: mind, Passer: exchange, Logger: logs}
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -43,6 +43,8 @@
 	Region string
 	Mind   Mind
 	Dialer *dialer.Dialer
+	// Shelf keeps the hosts of objects over restarts; nil keeps none.
+	Shelf  Shelf
 	Logger log.Logger
 
 	mu     sync.Mutex
@@ -80,6 +82,10 @@
 	x.peers = map[string]*link{}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	x.group.Go(x.keep)
+	x.remember()
+	if x.Shelf != nil {
+		x.group.Go(x.save)
+	}
 	return nil
 }
 
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -62,6 +62,9 @@
 		Run: x.gossip.Run, Counter: x.gossip.Counter(), Linked: linked, Revision: routing.Revision,
 		Records: news.Records, Seen: news.Seen, Whole: news.Whole, Losses: news.Losses,
 	}
+	if news.Whole {
+		out.Hosts = x.gossip.Hosts(r.GetNode().GetRegion())
+	}
 	x.nameControllers(now, r.GetNode().GetRegion(), out)
 	if routing.Revision > r.GetRevision() {
 		out.Evacuated = routing.Evacuated
@@ -105,6 +108,7 @@
 	x.update(func(now time.Time) {
 		x.gossip.See(now, r.Msg.GetNode())
 		x.gossip.Report(now, r.Msg.GetLosses(), true)
+		x.gossip.Settle(r.Msg.GetHosts())
 	})
 	return connect.NewResponse(&wire.TellResponse{}), nil
 }
--- a/core/dealer/dealer.go
+++ b/core/dealer/dealer.go
@@ -4,6 +4,7 @@
 package dealer
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,6 +57,13 @@
 	return best
 }
 
+// Order returns names by their rendezvous weight for a key, the greatest first.
+func Order(key string, names []string) []string {
+	out := slices.Clone(names)
+	sort.Slice(out, func(i, j int) bool { return hashOf(key+"/"+out[i], 0) > hashOf(key+"/"+out[j], 0) })
+	return out
+}
+
 func hashOf(name string, n int32) uint64 {
 	var d xxhash.Digest
 	d.ResetWithSeed(uint64(n))
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -31,6 +31,8 @@
 			out.Losses = append(out.Losses, l.report)
 		}
 	}
+	out.Hosted = g.hosts.counter
+	out.Hosts = g.hosts.list(func(m *hostMark) bool { return m.own && m.changed > p.hosted })
 	return out
 }
 
@@ -44,10 +46,11 @@
 		g.counter = g.nodes.sight(s.GetNode(), now.Add(-time.Duration(s.GetAge())), false, g.counter)
 	}
 	g.Report(now, r.GetLosses(), false)
+	g.hosts.learn(r.GetHosts(), false)
 	p := g.peer(r.GetFrom())
 	p.region = r.GetRegion()
 	g.compare(now, p, r.GetDigest())
-	return &wire.ExchangeResponse{Run: r.GetRun(), Counter: r.GetCounter(), Answerer: g.Run}
+	return &wire.ExchangeResponse{Run: r.GetRun(), Counter: r.GetCounter(), Answerer: g.Run, Hosted: r.GetHosted()}
 }
 
 func (g *Gossiper) learn(now time.Time, record *wire.Record) {
@@ -81,12 +84,13 @@
 	if p.run != r.GetAnswerer() {
 		fresh := p.run == 0 && p.acked == 0
 		p.run = r.GetAnswerer()
-		p.acked = 0
+		p.acked, p.hosted = 0, 0
 		if !fresh {
 			return
 		}
 	}
 	p.acked = max(p.acked, r.GetCounter())
+	p.hosted = max(p.hosted, r.GetHosted())
 	p.ackedAt = sent
 }
 
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -46,6 +46,7 @@
 	nodes   nodes
 	peers   map[string]*peer
 	losses  []*loss
+	hosts   hosts
 	// counter grows with everything that a watcher should learn.
 	counter uint64
 	// digest sums up the targets' records; equal pictures have equal digests.
@@ -74,6 +75,7 @@
 	region   string
 	run      uint64
 	acked    uint64
+	hosted   uint64
 	ackedAt  time.Time
 	differs  bool
 	differAt time.Time
--- /dev/null
+++ b/core/gossiper/hosts_test.go
@@ -0,0 +1,74 @@
+package gossiper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/wire"
+)
+
+func host(object uint64, target string) *wire.Host {
+	return &wire.Host{Object: object, Service: "s", Target: target, Region: "r"}
+}
+
+// swap lets one controller tell another what it has.
+func swap(now time.Time, from, to *Gossiper) int {
+	request := from.Outgoing(now, to.Self)
+	from.Acked(now, to.Self, to.Incoming(now, request))
+	return len(request.GetHosts())
+}
+
+func assertHost(t *testing.T, g *Gossiper, object uint64, target string) {
+	t.Helper()
+	is := is.New(t)
+	for _, h := range g.Hosts("r") {
+		if h.GetObject() == object {
+			is.Equal(h.GetTarget(), target)
+			return
+		}
+	}
+	is.Fail()
+}
+
+// An entry instance tells one controller where an object is warm, and asks another one after the restart of all.
+func TestHostsReachTheOtherControllersOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, b := &Gossiper{Self: "a", Run: 1}, &Gossiper{Self: "b", Run: 2}
+	a.Settle([]*wire.Host{host(1, "t1"), host(2, "t1")})
+	is.Equal(swap(now, a, b), 2)
+	assertHost(t, b, 1, "t1")
+	is.Equal(swap(now, a, b), 0)
+	a.Settle([]*wire.Host{host(1, "t2"), host(2, "t1")})
+	is.Equal(swap(now, a, b), 1) // only what changed
+	assertHost(t, b, 1, "t2")
+	is.Equal(len(b.Hosts("elsewhere")), 0)
+	is.Equal(swap(now, b, a), 0) // what b was told by a controller it does not pass on
+}
+
+// A controller lost its disk. The others tell it everything again when they meet its new run.
+func TestNewRunIsToldAllHosts(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, b := &Gossiper{Self: "a", Run: 1}, &Gossiper{Self: "b", Run: 2}
+	a.Settle([]*wire.Host{host(1, "t1")})
+	swap(now, a, b)
+	empty := &Gossiper{Self: "b", Run: 3}
+	swap(now, a, empty)
+	swap(now, a, empty)
+	is.Equal(len(empty.Hosts("r")), 1)
+}
+
+// Objects come and go for months. The oldest hosts make room; without a bound they would fill the controller's memory.
+func TestHostsAreBounded(t *testing.T) {
+	is := is.New(t)
+	g := &Gossiper{Self: "a", Run: 1}
+	for i := range uint64(maxHosts + 10) {
+		g.Settle([]*wire.Host{host(i, "t1")})
+	}
+	list := g.Hosts("")
+	is.Equal(len(list), maxHosts)
+	is.Equal(list[0].GetObject(), uint64(10))
+}
--- /dev/null
+++ b/core/placer/assigner_test.go
@@ -0,0 +1,220 @@
+package placer
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/messenger"
+)
+
+const coldRun = 900 * time.Millisecond
+
+func question(object string) Ask { return Ask{Object: object, Route: "view", Cold: coldRun} }
+
+// boards are fourteen targets in three regions, two of them where a third of the callers are.
+func boards() []Spec {
+	var out []Spec
+	for region, n := range map[string]int{"few": 2, "many": 6, "most": 6} {
+		for i := range n {
+			out = append(out, Spec{
+				Name: fmt.Sprintf("%s-%d", region, i), Incarnation: 1, Region: region, Zone: region, Slots: 9, Own: 1,
+			})
+		}
+	}
+	return out
+}
+
+func owner(region string, specs []Spec, position, of int) *Placer {
+	p := &Placer{Region: region, Zone: region, Far: 24 * time.Millisecond}
+	p.Update(start.Add(-time.Minute), specs, of)
+	p.Own(func(string) bool { return true }, position, of)
+	return p
+}
+
+// place asks for objects one after the other and counts them by target.
+func place(now time.Time, p *Placer, prefix string, n int) map[string]int {
+	counts := map[string]int{}
+	for i := range n {
+		counts[p.Assign(now, question(fmt.Sprint(prefix, i))).Target]++
+	}
+	return counts
+}
+
+// Two callers ask for an object that no target has warm, one a moment after the other. Sent at once, the second request
+// would run cold beside the first, take three times its slot time and be no earlier.
+func TestSecondRequestWaitsForTheFirstRun(t *testing.T) {
+	is := is.New(t)
+	p := owner("many", boards(), 0, 1)
+	first := p.Assign(start, question("a"))
+	is.True(first.Target != "" && first.WarmAt.IsZero())
+	second := p.Assign(start.Add(100*time.Millisecond), question("a"))
+	is.Equal(second.Target, first.Target)
+	is.Equal(second.WarmAt, start.Add(coldRun))
+	k := ticket(0)
+	k.Key, k.Host, k.WarmAt = "a", second.Target, second.WarmAt
+	k.Cold, k.Aim, k.Deadline = coldRun, start.Add(600*time.Millisecond), start.Add(4*time.Second)
+	_, decided := p.Offer(start.Add(100*time.Millisecond), k)
+	is.True(!decided)
+	is.Equal(len(p.Tick(start.Add(coldRun-time.Millisecond))), 0)
+	placed := p.Tick(start.Add(coldRun))
+	is.Equal(len(placed), 1)
+	is.Equal(placed[0].Decision.Target.Name, first.Target)
+}
+
+// The object's first run ends later than the request can wait. It is refused at once and told when to come back, for its
+// time would be over before it got its turn.
+func TestRequestThatCannotWaitForTheFirstRunIsRefused(t *testing.T) {
+	is := is.New(t)
+	p := owner("many", boards(), 0, 1)
+	k := ticket(0)
+	k.Key, k.Host, k.WarmAt = "a", "many-0", start.Add(coldRun)
+	k.Cold, k.Aim, k.Deadline = coldRun, start.Add(400*time.Millisecond), start.Add(time.Second)
+	decision, decided := p.Offer(start, k)
+	is.True(decided && decision.Target == nil)
+	is.Equal(decision.Retry, start.Add(coldRun))
+}
+
+// Objects fall to targets by chance, so that one has three times as many as another: its callers wait in its queue while
+// other targets idle. Placed by count they come out even, over the objects of all instances together too.
+func TestObjectsComeOutEven(t *testing.T) {
+	specs := boards()
+	for region, want := range map[string]float64{"most": 44.0 / 6, "few": 0.43 * 44 / 2} {
+		t.Run(region, func(t *testing.T) {
+			is := is.New(t)
+			all := map[string]int{}
+			for i := range 4 {
+				for name, n := range place(start, owner(region, specs, i, 4), fmt.Sprint(i, "/"), 11) {
+					all[name] += n
+				}
+			}
+			for _, s := range specs {
+				if s.Region == region {
+					is.True(math.Abs(float64(all[s.Name])-want) <= 2)
+				}
+			}
+		})
+	}
+}
+
+// A target dies. Its objects go to others at once, and all others stay where they are warm.
+func TestOnlyTheObjectsOfALostTargetMove(t *testing.T) {
+	is := is.New(t)
+	specs := boards()
+	p := owner("many", specs, 0, 1)
+	before := map[string]string{}
+	for i := range 60 {
+		object := fmt.Sprint(i)
+		before[object] = p.Assign(start, question(object)).Target
+	}
+	later := start.Add(10 * time.Second)
+	lost := specs[0].Name
+	p.Update(later, specs[1:], 1)
+	for object, target := range before {
+		now := p.Assign(later, question(object))
+		is.True(now.Target != lost)
+		is.True(target == lost || now.Target == target)
+	}
+}
+
+// The instance that answered for an object is gone, and the next one knows nothing of it. Whoever asks tells where the
+// object was last; placed anew, all objects of the lost instance would run cold.
+func TestNextInstanceTakesOverFromHints(t *testing.T) {
+	is := is.New(t)
+	p := owner("many", boards(), 1, 2)
+	ask := question("a")
+	ask.Hint = "most-3"
+	found := p.Assign(start, ask)
+	is.Equal(found.Target, "most-3")
+	is.True(found.WarmAt.IsZero())
+}
+
+// All instances restart at once. An object's target has kept it warm and announces itself within seconds, but not first.
+// Placed at those that came first, all objects would run cold on a few of the targets.
+func TestObjectsWaitForTheirTargetsAfterARestart(t *testing.T) {
+	is := is.New(t)
+	specs := boards()
+	p := &Placer{Region: "many", Zone: "many"}
+	p.Update(start, specs[:3], 1)
+	ask := question("a")
+	ask.Hint = specs[9].Name
+	now := start.Add(300 * time.Millisecond)
+	found := p.Assign(now, ask)
+	is.Equal(found.Target, ask.Hint)
+	k := ticket(0)
+	k.Key, k.Host = "a", found.Target
+	_, decided := p.Offer(now, k)
+	is.True(!decided)
+	p.Update(start.Add(600*time.Millisecond), specs, 1)
+	placed := p.Tick(start.Add(600 * time.Millisecond))
+	is.Equal(len(placed), 1)
+	is.Equal(placed[0].Decision.Target.Name, ask.Hint)
+	t.Run("but not for ever", func(t *testing.T) {
+		is := is.New(t)
+		ask := question("b")
+		ask.Hint = "gone"
+		found := p.Assign(start.Add(announceTime), ask)
+		is.True(found.Target != "" && found.Target != "gone")
+	})
+}
+
+// A target is added while every object has its place. Left to new objects alone, it would idle beside full ones; it gets
+// about its part, a few objects at a time.
+func TestNewTargetGetsItsPart(t *testing.T) {
+	is := is.New(t)
+	specs := boards()
+	p := owner("most", specs, 0, 1)
+	place(start, p, "", 132)
+	joined := Spec{Name: "most-9", Incarnation: 1, Region: "most", Zone: "most", Slots: 9, Own: 1}
+	now := start.Add(10 * time.Second)
+	p.Update(now, append(specs, joined), 1)
+	is.True(place(now, p, "", 132)[joined.Name] <= 1)
+	for range 60 {
+		now = now.Add(movePause)
+		place(now, p, "", 132)
+	}
+	n := place(now, p, "", 132)[joined.Name]
+	is.True(n >= 8 && n <= 28) // 132 objects, seven targets
+}
+
+// The callers of a region have their peak, and its targets are full while those of another region are half empty. Objects
+// leave at the pace that links between regions are planned for, and come home when there is room again.
+func TestObjectsFollowTheLoadOfRegions(t *testing.T) {
+	is := is.New(t)
+	p := owner("most", boards(), 0, 1)
+	place(start, p, "", 100)
+	home := func(now time.Time, load, other int32) int {
+		for _, target := range p.targets {
+			running := other
+			if target.Region == "most" {
+				running = load
+			}
+			for range 40 {
+				p.spread.see(now, target, &messenger.Load{Running: running + 1, Slots: 9})
+			}
+		}
+		n := 0
+		for name, objects := range place(now, p, "", 100) {
+			if p.byName[name].Region == "most" {
+				n += objects
+			}
+		}
+		return n
+	}
+	is.Equal(home(start, 9, 4), 100)
+	now := start.Add(coldRun)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		home(now, 9, 4)
+	}
+	left := 100 - home(now, 9, 4)
+	is.True(left >= 6 && left <= 12) // two seconds
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		home(now, 3, 4)
+	}
+	is.True(home(now, 3, 4) > 95)
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -13,6 +13,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -70,6 +71,10 @@
 	Tried []string
 	// Regions that may serve the request; empty allows all.
 	Regions []string
+	// Host is the target that keeps the object warm, or empty if none is known; WarmAt is when the object's first run
+	// there is expected to have ended.
+	Host   string
+	WarmAt time.Time
 	// Decided receives the decision on a ticket that has to wait; it needs room for one.
 	Decided chan Decision
 
@@ -114,6 +119,8 @@
 	// Far is what it takes to reach another region and come back.
 	Far time.Duration
 
+	// firstAt is when the first targets became known.
+	firstAt time.Time
 	targets []*Target
 	byName  map[string]*Target
 	queue   []*Ticket
@@ -131,6 +138,8 @@
 	crowd  crowd
 	hits   hits
 	load   load
+
+	assigner assigner
 }
 
 // load is what holds for all targets at one moment, worked out once for all decisions of that moment.
@@ -155,11 +164,18 @@
 	slots := 0.0
 	regions := map[string]float64{}
 	changed := len(specs) != len(old)
+	if p.firstAt.IsZero() && len(specs) > 0 {
+		p.firstAt = now
+	}
 	for _, s := range specs {
 		t, ok := old[s.Name]
 		if !ok || t.Incarnation != s.Incarnation {
 			t = newTarget()
 			changed = true
+			if !p.firstAt.IsZero() && now.After(p.firstAt.Add(announceTime)) {
+				t.joinedAt = now
+				p.assigner.newest = now
+			}
 		}
 		t.Spec = s
 		p.byName[s.Name] = t
@@ -167,9 +183,13 @@
 		slots += float64(s.Slots)
 		regions[s.Region] += float64(s.Slots)
 	}
+	slices.SortFunc(p.targets, func(a, b *Target) int { return cmp.Compare(a.Name, b.Name) })
 	p.hosts.reset(p.targets)
+	p.assigner.drop(p.targets)
+	p.assigner.parts = firstShares(p.Region, regions)
 	p.urgent = math.MaxInt32
 	p.share = slots / float64(max(1, entries))
+	p.crowd.first = 1 - 1/float64(max(1, entries))
 	p.spread.follow(p.Region, regions)
 	p.spread.entries = float64(entries) / float64(max(1, len(regions)))
 	if changed {
@@ -219,11 +239,11 @@
 	return now.Add(max(minRetry, wait))
 }
 
-// ahead counts the waiting tickets that would be placed before this one.
+// ahead counts the waiting tickets for the same slots that would be placed before this one.
 func (p *Placer) ahead(now time.Time, t *Ticket) int {
 	n := 0
 	for _, o := range p.queue {
-		if !less(now, t, o) {
+		if o.Host == t.Host && !now.Before(o.WarmAt) && !less(now, t, o) {
 			n++
 		}
 	}
@@ -247,6 +267,11 @@
 // waiting requests were placed lately. That fades into the rate of this instance's part of the slots: remembered for
 // good, one slow spell would have requests refused, none would wait, and nothing would show that it is over.
 func (p *Placer) expectedWait(now time.Time, t *Ticket) time.Duration {
+	if host := p.host(now, t); host != nil {
+		slots := float64(max(1, host.Slots))
+		queue := time.Duration(float64(p.usual()) * float64(p.ahead(now, t)+1) / slots)
+		return max(queue, t.WarmAt.Sub(now))
+	}
 	weight := fade(now.Sub(p.gapAt), gapLife)
 	even := float64(p.usual()) / max(1, p.share)
 	gap := weight*float64(p.gap) + (1-weight)*even
@@ -338,8 +363,47 @@
 	return target
 }
 
-// choose returns the target where the request is expected to be done first, of those in regions that may get one more.
+// awaited reports whether the host of a request's object has yet to announce itself to a system that has just started.
+// Elsewhere, the object would run cold and push out others whose targets are there already.
+func (p *Placer) awaited(now time.Time, t *Ticket) bool {
+	_, known := p.byName[t.Host]
+	return t.Host != "" && !known && now.Before(p.firstAt.Add(announceTime))
+}
+
+// host returns the target that keeps the object of a request warm, or nil if there is none or it can't be used.
+func (p *Placer) host(now time.Time, t *Ticket) *Target {
+	host, ok := p.byName[t.Host]
+	if !ok || !p.allowed(host, t) || host.down(now) {
+		return nil
+	}
+	return host
+}
+
+// enter returns the host of a request's object if it has room. A request that comes while the object runs there for
+// the first time waits: it would run cold beside that run, for three times the slots' time, and end no sooner.
+func (p *Placer) enter(now time.Time, t *Ticket, host *Target) *Target {
+	if now.Before(t.WarmAt) && (p.load.scarce || now.Add(t.Cold).After(t.Aim)) {
+		return nil
+	}
+	if !host.usable(now) {
+		return nil
+	}
+	if _, ok := p.cost(now, host, t, p.hits.chance(0)); !ok {
+		return nil
+	}
+	t.rank = 0
+	return host
+}
+
+// choose returns the target of the request's object. Where none is known, it is the one where the request is expected to
+// be done first, of those in regions that may get one more.
 func (p *Placer) choose(now time.Time, t *Ticket) *Target {
+	if host := p.host(now, t); host != nil {
+		return p.enter(now, t, host)
+	}
+	if p.awaited(now, t) {
+		return nil
+	}
 	hosts := p.hosts.of(t.Key)
 	candidates := p.targets
 	if p.load.scarce && p.anyUsable(now, t, hosts) {
@@ -366,7 +430,7 @@
 	if slices.Contains(t.Tried, target.Name) {
 		return false
 	}
-	return len(t.Regions) == 0 || slices.Contains(t.Regions, target.Region)
+	return inRegions(target.Region, t.Regions)
 }
 
 // held estimates how many requests a target holds: this instance's for certain, and those of others. What others had
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -54,17 +54,29 @@
 	others   float64
 	othersAt time.Time
 	// pace is its service time over the usual one, bad its part of failures, as of opinionAt.
-	pace       float64
-	bad        float64
-	opinionAt  time.Time
+	pace      float64
+	bad       float64
+	opinionAt time.Time
+	// failures are those in a row to reach it.
 	failures   int
 	ejectUntil time.Time
 	// sent are the latest sends while it was cold.
 	sent []time.Time
+	// joinedAt is when it came beside others, zero if it was there at first.
+	joinedAt time.Time
 }
 
 func newTarget() *Target { return &Target{pace: 1} }
 
+// downAfter is how many failures in a row to reach a target show that it is down. One is often a lost connection only, and
+// objects that leave for it run cold elsewhere.
+const downAfter = 2
+
+// down reports whether the target's objects have to go elsewhere: it can't be reached, or has lost what it kept warm.
+func (t *Target) down(now time.Time) bool {
+	return now.Before(t.ColdUntil) || t.failures >= downAfter && now.Before(t.ejectUntil)
+}
+
 // usable reports whether the target may be sent to at all now.
 func (t *Target) usable(now time.Time) bool {
 	if now.Before(t.ejectUntil) {
--- /dev/null
+++ b/core/storer/hosts.go
@@ -0,0 +1,51 @@
+package storer
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"google.golang.org/protobuf/proto"
+
+	"chervilrail.example/core/wire"
+)
+
+const hostsFile = "hosts"
+
+// Hosts keeps the objects' hosts in a file of their own. They are hints: lost ones cost slow runs, and neither reading nor
+// writing them may hold up what binds.
+type Hosts struct {
+	Folder string
+}
+
+// Load reads the hosts that were last saved; none if there is no file.
+func (h *Hosts) Load() ([]*wire.Host, error) {
+	path := filepath.Join(h.Folder, hostsFile)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, &FileError{Action: "read", Path: path, Cause: err}
+	}
+	payload, _, err := decodeRecord(data)
+	if err != nil {
+		return nil, &DamageError{Path: path, Offset: 0, Reason: err.Error()}
+	}
+	out := &wire.Hosts{}
+	if err := proto.Unmarshal(payload.data, out); err != nil {
+		return nil, &DamageError{Path: path, Offset: 0, Reason: err.Error()}
+	}
+	return out.GetHosts(), nil
+}
+
+// Save replaces the file.
+func (h *Hosts) Save(list []*wire.Host) error {
+	data, err := proto.Marshal(&wire.Hosts{Hosts: list})
+	if err != nil {
+		return &FileError{Action: "encode", Path: hostsFile, Cause: err}
+	}
+	files := Storer{Folder: h.Folder}
+	return files.replaceFile(hostsFile, encodeRecord(recordHosts, data))
+}
--- /dev/null
+++ b/core/storer/hosts_test.go
@@ -0,0 +1,40 @@
+package storer
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/wire"
+)
+
+// The power fails while hosts are written, or a disk hands back other bytes. What can be read is read whole or refused;
+// half of a file taken for all of it would send requests to targets that never had their objects.
+func TestHostsFile(t *testing.T) {
+	is := is.New(t)
+	file := &Hosts{Folder: t.TempDir()}
+	none, err := file.Load()
+	is.NoErr(err)
+	is.Equal(len(none), 0)
+	is.NoErr(file.Save([]*wire.Host{{Object: 7, Service: "s", Target: "t", Region: "r"}}))
+	is.NoErr(file.Save([]*wire.Host{{Object: 8, Service: "s", Target: "t", Region: "r"}}))
+	list, err := file.Load()
+	is.NoErr(err)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].GetObject(), uint64(8))
+	path := filepath.Join(file.Folder, hostsFile)
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	for name, data := range map[string][]byte{"torn": whole[:len(whole)-2], "empty": {}, "other": []byte("0123456789abcdef")} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.NoErr(os.WriteFile(path, data, fileMode))
+			_, err := file.Load()
+			var damage *DamageError
+			is.True(errors.As(err, &damage))
+		})
+	}
+}
--- a/core/storer/record.go
+++ b/core/storer/record.go
@@ -19,6 +19,7 @@
 	recordSnapshot
 	recordIdentity
 	recordBatch
+	recordHosts
 )
 
 const (
--- a/core/storer/recovery.go
+++ b/core/storer/recovery.go
@@ -170,7 +170,7 @@
 		out.Entries = place(out.Entries, e, out.Snapshot.GetIndex())
 	case recordReset:
 		out.Entries = nil
-	case recordSnapshot, recordIdentity, recordBatch:
+	case recordSnapshot, recordIdentity, recordBatch, recordHosts:
 		return &formatError{"a record of another file"}
 	}
 	return nil
--- a/core/wire/wireconnect/wire.connect.go
+++ b/core/wire/wireconnect/wire.connect.go
@@ -32,6 +32,8 @@
 	PeersName = "chervilrail.wire.Peers"
 	// ExchangeName is the fully-qualified name of the Exchange service.
 	ExchangeName = "chervilrail.wire.Exchange"
+	// PlacementName is the fully-qualified name of the Placement service.
+	PlacementName = "chervilrail.wire.Placement"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -66,6 +68,8 @@
 	ExchangeWatchProcedure = "/chervilrail.wire.Exchange/Watch"
 	// ExchangeTellProcedure is the fully-qualified name of the Exchange's Tell RPC.
 	ExchangeTellProcedure = "/chervilrail.wire.Exchange/Tell"
+	// PlacementPlaceProcedure is the fully-qualified name of the Placement's Place RPC.
+	PlacementPlaceProcedure = "/chervilrail.wire.Placement/Place"
 )
 
 // ReplicasClient is a client for the chervilrail.wire.Replicas service.
@@ -599,3 +603,73 @@
 func (UnimplementedExchangeHandler) Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilrail.wire.Exchange.Tell is not implemented"))
 }
+
+// PlacementClient is a client for the chervilrail.wire.Placement service.
+type PlacementClient interface {
+	Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error)
+}
+
+// NewPlacementClient constructs a client for the chervilrail.wire.Placement service. By default, it
+// uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewPlacementClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) PlacementClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	placementMethods := wire.File_wire_wire_proto.Services().ByName("Placement").Methods()
+	return &placementClient{
+		place: connect.NewClient[wire.PlaceRequest, wire.PlaceResponse](
+			httpClient,
+			baseURL+PlacementPlaceProcedure,
+			connect.WithSchema(placementMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// placementClient implements PlacementClient.
+type placementClient struct {
+	place *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
+}
+
+// Place calls chervilrail.wire.Placement.Place.
+func (c *placementClient) Place(ctx context.Context, req *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error) {
+	return c.place.CallUnary(ctx, req)
+}
+
+// PlacementHandler is an implementation of the chervilrail.wire.Placement service.
+type PlacementHandler interface {
+	Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error)
+}
+
+// NewPlacementHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewPlacementHandler(svc PlacementHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	placementMethods := wire.File_wire_wire_proto.Services().ByName("Placement").Methods()
+	placementPlaceHandler := connect.NewUnaryHandler(
+		PlacementPlaceProcedure,
+		svc.Place,
+		connect.WithSchema(placementMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/chervilrail.wire.Placement/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case PlacementPlaceProcedure:
+			placementPlaceHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedPlacementHandler returns CodeUnimplemented from all methods.
+type UnimplementedPlacementHandler struct{}
+
+func (UnimplementedPlacementHandler) Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilrail.wire.Placement.Place is not implemented"))
+}
--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/messenger"
@@ -66,6 +67,14 @@
 	_, _ = w.Write([]byte(out.reason + "\n"))
 }
 
+// objectName stands for an object in logs; keys may be private.
+func objectName(object string) string {
+	if object == "" {
+		return ""
+	}
+	return strconv.FormatUint(xxhash.Sum64String(object), 36)
+}
+
 func (c *Carrier) report(j *job, out result) {
 	took := time.Since(j.started)
 	c.Metrics.ended(j, out, took)
@@ -74,6 +83,7 @@
 		version = j.view.Table.Plan.GetVersion()
 	}
 	_ = level.Info(c.Logger).Log("msg", "request", "id", j.call.ID, "route", j.route.GetName(), "service", j.service,
+		"object", objectName(j.object()), "host", j.place.Target, "by", j.place.Reason, "located", j.located,
 		"version", version, "target", j.target, "region", j.region, "sends", j.sends, "status", out.status,
 		"reason", out.reason, "waited", j.waited, "took", took, "left", time.Until(j.deadline), "load", j.load)
 }
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -36,7 +36,7 @@
 	var tried []string
 	certain := unsent
 	for {
-		decision, present := g.admit(j.request.Context(), c.ticket(j, tried))
+		decision, present := g.admit(j.request.Context(), c.ticket(j, g, tried))
 		j.waited = time.Since(j.started)
 		if !present {
 			return gone()
@@ -61,9 +61,12 @@
 	}
 }
 
-func (c *Carrier) ticket(j *job, tried []string) *placer.Ticket {
+func (c *Carrier) ticket(j *job, g *gate, tried []string) *placer.Ticket {
 	warm, cold := c.routes.expected(j.route)
+	j.place = c.locate(j, g, cold)
 	return &placer.Ticket{
+		Host:     j.place.Target,
+		WarmAt:   j.place.WarmAt,
 		Key:      j.object(),
 		Priority: j.route.GetPriority(),
 		Aim:      j.started.Add(time.Duration(j.route.GetAim())),
@@ -76,6 +79,20 @@
 	}
 }
 
+// locate finds the target that keeps the request's object warm.
+func (c *Carrier) locate(j *job, g *gate, cold time.Duration) placer.Place {
+	object := j.object()
+	if object == "" {
+		return placer.Place{}
+	}
+	started := time.Now()
+	place := c.Locator.Locate(j.request.Context(), j.view.Peers, j.service, placer.Ask{
+		Object: object, Route: j.route.GetName(), Hint: g.seen(object), Cold: cold, Regions: j.route.GetRegions(),
+	})
+	j.located = time.Since(started)
+	return place
+}
+
 // object names what the request concerns, where targets keep that warm.
 func (j *job) object() string {
 	if !j.route.GetSticky() || j.call.Key == "" {
@@ -110,6 +127,7 @@
 // attempt sends the request to one target, whose slot is already taken.
 func (c *Carrier) attempt(j *job, g *gate, d placer.Decision) (result, ending) {
 	t := d.Target
+	g.saw(j.object(), t.Name)
 	j.target, j.region = t.Name, t.Region
 	start := time.Now()
 	ctx, cancel := j.context()
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -5,16 +5,21 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/messenger"
+	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/core/wire"
+	"chervilrail.example/entry/internal/locator"
 	"chervilrail.example/entry/internal/pooler"
 	"chervilrail.example/entry/internal/watcher"
 )
@@ -31,6 +36,7 @@
 type Views interface {
 	View() *watcher.View
 	Report(l *wire.Loss)
+	Settle(h *wire.Host)
 }
 
 // Sender carries requests to targets.
@@ -41,13 +47,22 @@
 	Close()
 }
 
+// Locator finds the target that keeps an object warm, with the other entry instances of the region.
+type Locator interface {
+	Locate(ctx context.Context, peers []locator.Peer, service string, ask placer.Ask) placer.Place
+	Owns(peers []locator.Peer, object string) bool
+}
+
 // Carrier is the traffic service. Set the exported fields before Start.
 type Carrier struct {
+	// Self is this instance's name.
+	Self       string
 	Region     string
 	Zone       string
 	Face       messenger.Face
 	Views      Views
 	Sender     Sender
+	Locator    Locator
 	Quarantine *quarantiner.Quarantiner
 	Logger     log.Logger
 	Metrics    *Metrics
@@ -148,9 +163,30 @@
 			c.gates[name] = newGate(c.Region, c.Zone)
 		}
 	}
+	self := slices.IndexFunc(v.Peers, func(p locator.Peer) bool { return p.Name == c.Self })
 	for name, g := range c.gates {
-		g.follow(time.Now(), v.Targets[name], v.Entries)
+		g.follow(time.Now(), v.Targets[name], v, c.Locator, max(0, self))
+	}
+}
+
+// Remember takes where objects were last kept warm.
+func (c *Carrier) Remember(hosts []*wire.Host) {
+	for _, h := range hosts {
+		c.gate(h.GetService()).remember(h.GetObject(), h.GetTarget())
+	}
+}
+
+// Assign implements locator.Assigner.
+func (c *Carrier) Assign(now time.Time, service string, ask placer.Ask) placer.Place {
+	place := c.gate(service).assign(now, ask)
+	if place.Settled {
+		c.Views.Settle(&wire.Host{Object: xxhash.Sum64String(ask.Object), Service: service, Target: place.Target})
+	}
+	if place.Reason != "known" {
+		_ = level.Info(c.Logger).Log("msg", "object placed", "object", objectName(ask.Object), "service", service,
+			"target", place.Target, "reason", place.Reason, "hint", ask.Hint)
 	}
+	return place
 }
 
 func (c *Carrier) gate(service string) *gate {
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -20,6 +20,7 @@
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/core/wire"
+	"chervilrail.example/entry/internal/locator"
 	"chervilrail.example/entry/internal/pooler"
 	"chervilrail.example/entry/internal/watcher"
 	"chervilrail.example/platform/translator"
@@ -78,6 +79,15 @@
 
 func (v *views) View() *watcher.View { return v.view }
 func (v *views) Report(*wire.Loss)   {}
+func (v *views) Settle(*wire.Host)   {}
+
+// alone is the only entry instance of its region; it knows no object.
+type alone struct{}
+
+func (alone) Locate(context.Context, []locator.Peer, string, placer.Ask) placer.Place {
+	return placer.Place{}
+}
+func (alone) Owns([]locator.Peer, string) bool { return true }
 
 func plan() *wire.Plan {
 	split := []*wire.Split{{Service: "listings", Weight: 1}}
@@ -104,7 +114,7 @@
 		Table: planner.NewTable(plan()), Targets: map[string][]placer.Spec{"listings": specs}, Entries: 1,
 	}
 	c := &Carrier{
-		Region: "r", Zone: "z", Face: translator.Face{}, Views: &views{view}, Sender: s,
+		Self: "e1", Locator: alone{}, Region: "r", Zone: "z", Face: translator.Face{}, Views: &views{view}, Sender: s,
 		Quarantine: &quarantiner.Quarantiner{Confirm: 3}, Logger: log.NewNopLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
 	is.New(t).NoErr(c.Start(context.Background(), nil))
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilrail.example/core/budgeter"
 	"chervilrail.example/core/placer"
+	"chervilrail.example/entry/internal/watcher"
 )
 
 // far is what it takes to reach another region and come back: 70 ms and 110 ms between the regions of today.
@@ -17,16 +20,55 @@
 	mu     sync.Mutex
 	place  placer.Placer
 	budget budgeter.Budget
+	// hints are the targets that objects' requests were last sent to.
+	hints map[uint64]string
+}
+
+// maxHints bounds the hints; without one, an object's next instance to answer for it may place it anew.
+const maxHints = 16384
+
+// saw notes where a request for an object is sent.
+func (g *gate) saw(object, target string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if object == "" {
+		return
+	}
+	g.hint(xxhash.Sum64String(object), target)
+}
+
+func (g *gate) hint(object uint64, target string) {
+	if g.hints == nil || len(g.hints) >= maxHints {
+		g.hints = map[uint64]string{}
+	}
+	g.hints[object] = target
+}
+
+// remember takes an object's host of an earlier run, unless something newer is known.
+func (g *gate) remember(object uint64, target string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.hints[object]; !ok {
+		g.hint(object, target)
+	}
+}
+
+// seen is where a request for an object was last sent, or empty.
+func (g *gate) seen(object string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.hints[xxhash.Sum64String(object)]
 }
 
 func newGate(region, zone string) *gate {
 	return &gate{place: placer.Placer{Region: region, Zone: zone, Far: far}}
 }
 
-func (g *gate) follow(now time.Time, specs []placer.Spec, entries int) {
+func (g *gate) follow(now time.Time, specs []placer.Spec, v *watcher.View, peers Locator, self int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.place.Update(now, specs, entries)
+	g.place.Update(now, specs, v.Entries)
+	g.place.Own(func(object string) bool { return peers.Owns(v.Peers, object) }, self, len(v.Peers))
 	announce(g.place.Tick(now))
 }
 
@@ -74,6 +116,16 @@
 	announce(g.place.Done(time.Now(), t, o))
 }
 
+// assign says where a request for an object goes that this instance answers for.
+func (g *gate) assign(now time.Time, ask placer.Ask) placer.Place {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ask.Hint == "" {
+		ask.Hint = g.hints[xxhash.Sum64String(ask.Object)]
+	}
+	return g.place.Assign(now, ask)
+}
+
 // ask notes a request that wants the service.
 func (g *gate) ask(now time.Time) {
 	g.mu.Lock()
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chervilrail.example/core/messenger"
+	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/watcher"
@@ -41,6 +42,9 @@
 	sends  int
 	load   *messenger.Load
 	waited time.Duration
+	// place is where the request's object is kept warm, located how long it took to find out.
+	place   placer.Place
+	located time.Duration
 }
 
 // prepare matches and reads a request; a result other than nil ends it.
--- a/entry/internal/cli/routed.go
+++ b/entry/internal/cli/routed.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -20,6 +21,7 @@
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/carrier"
 	"chervilrail.example/entry/internal/config"
+	"chervilrail.example/entry/internal/locator"
 	"chervilrail.example/entry/internal/pooler"
 	"chervilrail.example/entry/internal/watcher"
 	"chervilrail.example/platform/translator"
@@ -42,6 +44,7 @@
 	registry *prometheus.Registry
 	watcher  *watcher.Watcher
 	carrier  *carrier.Carrier
+	locator  *locator.Locator
 	leaver   *leaver
 }
 
@@ -53,7 +56,7 @@
 	quarantine := &quarantiner.Quarantiner{Confirm: confirmedLosses}
 	p.watcher = &watcher.Watcher{
 		Node: &wire.Node{
-			Name: settings.Name, Caller: settings.Caller.String(), Region: settings.Region, Zone: settings.Zone,
+			Name: settings.Name, Caller: settings.Caller.String(), Peer: settings.Peer.String(), Region: settings.Region, Zone: settings.Zone,
 		},
 		Seeds:  settings.Seeds,
 		Dialer: &dialer.Dialer{Plain: true},
@@ -61,10 +64,14 @@
 		Losses: func(reports []*wire.Loss) { takeLosses(quarantine, reports) },
 	}
 	p.carrier = &carrier.Carrier{
-		Region: settings.Region, Zone: settings.Zone, Face: translator.Face{}, Views: p.watcher,
+		Self: settings.Name, Region: settings.Region, Zone: settings.Zone, Face: translator.Face{}, Views: p.watcher,
 		Sender: &pooler.Pooler{}, Quarantine: quarantine, Logger: p.logger, Metrics: carrier.NewMetrics(p.registry),
 	}
-	p.watcher.Changed = p.carrier.Follow
+	p.locator = &locator.Locator{
+		Self: settings.Name, Dialer: &dialer.Dialer{Plain: true}, Assigner: p.carrier, Logger: p.logger,
+	}
+	p.carrier.Locator = p.locator
+	p.watcher.Changed, p.watcher.Hosts = p.carrier.Follow, p.carrier.Remember
 	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, serve: settings.Answer, logger: p.logger}
 	return p
 }
@@ -103,12 +110,18 @@
 	k.Services = []kernel.Service{
 		&reloader.Reloader{Load: p.reload, Logger: p.logger},
 		p.carrier,
+		p.locator,
 		p.watcher,
 		&listener.Listener{Title: "operator", Address: s.Operator, Handler: operator, Logger: p.logger},
 		&listener.Listener{Title: "caller", Address: s.Caller, Handler: p.carrier, Logger: p.logger},
 		&listener.Listener{Title: "ready", Address: s.Ready, Handler: translator.Ready{Check: p.ready}, Logger: p.logger},
 		p.leaver,
 	}
+	if s.Peer.IsValid() {
+		k.Services = slices.Insert(k.Services, 1, kernel.Service(&listener.Listener{
+			Title: "peer", Address: s.Peer, Handler: p.locator.Handler(), Logger: p.logger,
+		}))
+	}
 	return k
 }
 
--- /dev/null
+++ b/entry/internal/locator/locator.go
@@ -0,0 +1,176 @@
+// Package locator finds the target that keeps an object warm. For each object one entry instance of the region answers,
+// the same one for all that ask, so that they agree at once and each object runs cold once.
+package locator
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"chervilrail.example/core/dealer"
+	"chervilrail.example/core/dialer"
+	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/placer"
+	"chervilrail.example/core/wire"
+	"chervilrail.example/core/wire/wireconnect"
+)
+
+const (
+	// answerTimeout is many times what an instance of the same region takes to answer. One that takes longer is frozen
+	// or cut off, and the request has better use for its time.
+	answerTimeout = 100 * time.Millisecond
+	// shun is how long an instance that did not answer is not asked again. Each question to it holds up a request.
+	shun = time.Second
+)
+
+// Peer is an entry instance of the same region.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Assigner decides for the objects that this instance answers for.
+type Assigner interface {
+	Assign(now time.Time, service string, ask placer.Ask) placer.Place
+}
+
+// Locator asks other instances and answers them. Set the exported fields before Start.
+type Locator struct {
+	Self     string
+	Dialer   *dialer.Dialer
+	Assigner Assigner
+	Logger   log.Logger
+
+	client *http.Client
+
+	mu      sync.Mutex
+	shunned map[string]time.Time
+}
+
+// Name implements kernel.Service.
+func (l *Locator) Name() string { return "locate" }
+
+// Health implements kernel.Service.
+func (l *Locator) Health() error { return nil }
+
+// Start makes the locator ready.
+func (l *Locator) Start(context.Context, kernel.Finder) error {
+	client, err := l.Dialer.Client()
+	if err != nil {
+		return err
+	}
+	l.client = client
+	l.shunned = map[string]time.Time{}
+	return nil
+}
+
+// Stop closes the idle connections to other instances.
+func (l *Locator) Stop(context.Context) error {
+	if l.client != nil {
+		l.client.CloseIdleConnections()
+	}
+	return nil
+}
+
+// Owns reports whether this instance answers for an object, of those that are not known to be out of reach.
+func (l *Locator) Owns(peers []Peer, object string) bool {
+	return l.owner(time.Now(), peers, object).Name == l.Self
+}
+
+// owner returns the instance that answers for an object.
+func (l *Locator) owner(now time.Time, peers []Peer, object string) Peer {
+	names := make([]string, 0, len(peers))
+	byName := map[string]Peer{}
+	l.mu.Lock()
+	for _, p := range peers {
+		if p.Name == l.Self || !now.Before(l.shunned[p.Name]) {
+			names = append(names, p.Name)
+			byName[p.Name] = p
+		}
+	}
+	l.mu.Unlock()
+	if len(names) == 0 {
+		return Peer{Name: l.Self}
+	}
+	return byName[dealer.Order(object, names)[0]]
+}
+
+// Locate says where a request for an object goes. An instance that does not answer is left out for a while; the one that
+// comes next takes over from the hints of those who ask.
+func (l *Locator) Locate(ctx context.Context, peers []Peer, service string, ask placer.Ask) placer.Place {
+	for range 2 {
+		now := time.Now()
+		owner := l.owner(now, peers, ask.Object)
+		if owner.Name == l.Self {
+			break
+		}
+		place, err := l.call(ctx, owner, service, ask)
+		if err == nil {
+			return place
+		}
+		if ctx.Err() != nil {
+			return placer.Place{}
+		}
+		l.leaveOut(now, owner, err)
+	}
+	return l.Assigner.Assign(time.Now(), service, ask)
+}
+
+func (l *Locator) leaveOut(now time.Time, owner Peer, err error) {
+	l.mu.Lock()
+	l.shunned[owner.Name] = now.Add(shun)
+	l.mu.Unlock()
+	_ = level.Info(l.Logger).Log("msg", "entry instance does not answer", "peer", owner.Name, "address", owner.Address,
+		"err", err)
+}
+
+func (l *Locator) call(ctx context.Context, owner Peer, service string, ask placer.Ask) (placer.Place, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	client := wireconnect.NewPlacementClient(l.client, l.Dialer.URL(owner.Address))
+	response, err := client.Place(ctx, connect.NewRequest(&wire.PlaceRequest{
+		Service: service, Object: ask.Object, Route: ask.Route, Hint: ask.Hint, Cold: int64(ask.Cold), Regions: ask.Regions,
+	}))
+	if err != nil {
+		return placer.Place{}, err
+	}
+	place := placer.Place{Target: response.Msg.GetTarget(), Reason: owner.Name}
+	if warming := time.Duration(response.Msg.GetWarming()); warming > 0 {
+		place.WarmAt = time.Now().Add(warming)
+	}
+	return place, nil
+}
+
+// Place answers another instance.
+func (l *Locator) Place(
+	_ context.Context, r *connect.Request[wire.PlaceRequest],
+) (*connect.Response[wire.PlaceResponse], error) {
+	now := time.Now()
+	place := l.Assigner.Assign(now, r.Msg.GetService(), placer.Ask{
+		Object: r.Msg.GetObject(), Route: r.Msg.GetRoute(), Hint: r.Msg.GetHint(), Cold: time.Duration(r.Msg.GetCold()),
+		Regions: r.Msg.GetRegions(),
+	})
+	return connect.NewResponse(&wire.PlaceResponse{
+		Target: place.Target, Warming: int64(warming(now, place)),
+	}), nil
+}
+
+func warming(now time.Time, place placer.Place) time.Duration {
+	if place.WarmAt.IsZero() {
+		return 0
+	}
+	return max(0, place.WarmAt.Sub(now))
+}
+
+// Handler serves the questions of other instances.
+func (l *Locator) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewPlacementHandler(l))
+	return mux
+}
--- /dev/null
+++ b/entry/internal/locator/locator_test.go
@@ -0,0 +1,109 @@
+package locator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/dialer"
+	"chervilrail.example/core/placer"
+)
+
+// book is what one instance would answer; it remembers what it was asked.
+type book struct {
+	mu     sync.Mutex
+	target string
+	warmAt time.Time
+	asked  []placer.Ask
+}
+
+func (b *book) Assign(_ time.Time, _ string, ask placer.Ask) placer.Place {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asked = append(b.asked, ask)
+	return placer.Place{Target: b.target, WarmAt: b.warmAt}
+}
+
+func begin(t *testing.T, name string, b *book) *Locator {
+	t.Helper()
+	l := &Locator{Self: name, Dialer: &dialer.Dialer{Plain: true}, Assigner: b, Logger: log.NewNopLogger()}
+	is.New(t).NoErr(l.Start(context.Background(), nil))
+	t.Cleanup(func() { is.New(t).NoErr(l.Stop(context.Background())) })
+	return l
+}
+
+func serve(t *testing.T, h http.Handler) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// objectOf returns an object that an instance answers for.
+func objectOf(l *Locator, peers []Peer, owner string) string {
+	for i := 0; ; i++ {
+		if object := fmt.Sprint(i); l.owner(time.Now(), peers, object).Name == owner {
+			return object
+		}
+	}
+}
+
+// Two instances get requests for the same object. Each choosing by what it knows of the load, they send them to two
+// targets, and the object runs cold at both.
+func TestInstancesAgree(t *testing.T) {
+	is := is.New(t)
+	one, two := &book{target: "t1"}, &book{target: "t2", warmAt: time.Now().Add(time.Minute)}
+	a, b := begin(t, "a", one), begin(t, "b", two)
+	peers := []Peer{{"a", serve(t, a.Handler())}, {"b", serve(t, b.Handler())}}
+	for _, owner := range []string{"a", "b"} {
+		ask := placer.Ask{Object: objectOf(a, peers, owner), Route: "r", Hint: "h", Cold: time.Second, Regions: []string{"x"}}
+		first, second := a.Locate(t.Context(), peers, "s", ask), b.Locate(t.Context(), peers, "s", ask)
+		is.Equal(first.Target, second.Target)
+		is.Equal(first.WarmAt.IsZero(), second.WarmAt.IsZero())
+		is.Equal(first.Target, map[string]string{"a": "t1", "b": "t2"}[owner])
+		is.True(a.Owns(peers, ask.Object) == (owner == "a"))
+	}
+	is.Equal(one.asked[0], one.asked[1])
+	is.Equal(two.asked[0].Regions, []string{"x"})
+}
+
+// The instance that answers for an object hangs. Each request for the object would wait for it, second after second; it is
+// left out after the first, and another one answers.
+func TestSilentInstanceIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	hangs := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })
+	b := &book{target: "t1"}
+	l := begin(t, "a", b)
+	peers := []Peer{{"a", netip.AddrPort{}}, {"silent", serve(t, hangs)}}
+	t.Cleanup(func() { close(release) })
+	object := objectOf(l, peers, "silent")
+	start := time.Now()
+	for range 20 {
+		is.Equal(l.Locate(t.Context(), peers, "s", placer.Ask{Object: object, Hint: "t9"}).Target, "t1")
+	}
+	is.True(time.Since(start) < shun)
+	is.Equal(b.asked[0].Hint, "t9")
+	is.True(l.Owns(peers, object))
+}
+
+// Instances hear of another one before it serves its peers, or have no address of it. The request must not fail for it.
+func TestUnreachableInstanceIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	l := begin(t, "a", &book{target: "t1"})
+	peers := []Peer{{"a", netip.AddrPort{}}, {"closed", netip.MustParseAddrPort("127.0.0.1:1")}}
+	object := objectOf(l, peers, "closed")
+	is.Equal(l.Locate(t.Context(), peers, "s", placer.Ask{Object: object}).Target, "t1")
+	t.Run("alone", func(t *testing.T) {
+		is.New(t).Equal(l.Locate(t.Context(), nil, "s", placer.Ask{Object: object}).Target, "t1")
+	})
+}
--- a/entry/internal/watcher/teller.go
+++ b/entry/internal/watcher/teller.go
@@ -22,6 +22,8 @@
 	tellTimeout = time.Second
 	// maxReports bounds what waits to be told; the oldest are dropped.
 	maxReports = 256
+	// maxHosts bounds the hosts that wait to be told.
+	maxHosts = 4096
 )
 
 // teller passes on what the controllers should know at once: that this instance leaves, and which requests were in
@@ -36,6 +38,7 @@
 
 	mu      sync.Mutex
 	reports []*wire.Loss
+	hosts   []*wire.Host
 	wake    chan struct{}
 }
 
@@ -57,6 +60,13 @@
 	w.teller.nudge()
 }
 
+// Settle passes on where an object is kept warm from now on.
+func (w *Watcher) Settle(h *wire.Host) {
+	h.Region = w.Node.GetRegion()
+	w.teller.settle(h)
+	w.teller.nudge()
+}
+
 func (t *teller) add(reports ...*wire.Loss) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -66,12 +76,22 @@
 	}
 }
 
-func (t *teller) take() []*wire.Loss {
+// settle keeps hosts until they can be told; the newest are kept.
+func (t *teller) settle(hosts ...*wire.Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hosts = append(t.hosts, hosts...)
+	if extra := len(t.hosts) - maxHosts; extra > 0 {
+		t.hosts = t.hosts[extra:]
+	}
+}
+
+func (t *teller) take() ([]*wire.Loss, []*wire.Host) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := t.reports
-	t.reports = nil
-	return out
+	reports, hosts := t.reports, t.hosts
+	t.reports, t.hosts = nil, nil
+	return reports, hosts
 }
 
 func (t *teller) nudge() {
@@ -105,14 +125,15 @@
 	if at == nil {
 		return
 	}
-	reports := w.teller.take()
+	reports, hosts := w.teller.take()
 	ctx, cancel := context.WithTimeout(w.ctx, tellTimeout)
 	defer cancel()
 	client := wireconnect.NewExchangeClient(w.client, w.Dialer.URL(*at))
-	request := &wire.TellRequest{Node: w.node(w.View() == nil), Losses: reports}
+	request := &wire.TellRequest{Node: w.node(w.View() == nil), Losses: reports, Hosts: hosts}
 	if _, err := client.Tell(ctx, connect.NewRequest(request)); err != nil && w.ctx.Err() == nil {
 		_ = level.Warn(w.Logger).Log("msg", "controller not told", "controller", at, "reports", len(reports), "err", err)
 		w.teller.add(reports...)
+		w.teller.settle(hosts...)
 		w.teller.nudge()
 	}
 }
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -1,6 +1,8 @@
 package watcher
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,6 +13,7 @@
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/wire"
+	"chervilrail.example/entry/internal/locator"
 )
 
 // View is an immutable picture of the control state.
@@ -21,6 +24,8 @@
 	Targets map[string][]placer.Spec
 	// Entries is how many entry instances share the targets.
 	Entries int
+	// Peers are those of them in this region, itself among them.
+	Peers []locator.Peer
 }
 
 // take puts an answer in force.
@@ -37,6 +42,9 @@
 	if len(r.GetLosses()) > 0 {
 		w.Losses(r.GetLosses())
 	}
+	if len(r.GetHosts()) > 0 {
+		w.Hosts(r.GetHosts())
+	}
 	if stale && s.plan != nil {
 		w.publish(now)
 	}
@@ -158,6 +166,7 @@
 			ColdUntil: s.cold[record.GetName()], Rate: coldRate(service),
 		})
 	}
+	v.Peers = w.peers()
 	for name := range v.Targets {
 		w.deal(now, v.Targets[name])
 	}
@@ -165,6 +174,26 @@
 	w.Changed(v)
 }
 
+// peers lists the entry instances of this region that stay and can be asked, this one among them.
+func (w *Watcher) peers() []locator.Peer {
+	nodes := maps.Clone(w.state.nodes)
+	nodes[w.Node.GetName()] = w.node(false)
+	var out []locator.Peer
+	for _, n := range nodes {
+		if n.GetRegion() != w.Node.GetRegion() || n.GetLeaving() {
+			continue
+		}
+		address, err := netip.ParseAddrPort(n.GetPeer())
+		if err != nil {
+			_ = level.Debug(w.Logger).Log("msg", "entry instance can't be asked", "peer", n.GetName(), "err", err)
+			continue
+		}
+		out = append(out, locator.Peer{Name: n.GetName(), Address: address})
+	}
+	slices.SortFunc(out, func(a, b locator.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // coldOver is how far above its rate a cold target may be pushed in a second, and coldSpare what comes on top. Two
 // entry instances may both take a cold target for theirs while they learn of each other, so each keeps to half.
 const (
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -43,6 +43,8 @@
 	Logger log.Logger
 	// Losses takes what other instances report of requests that were in flight when a target died.
 	Losses func(reports []*wire.Loss)
+	// Hosts takes where objects were last kept warm.
+	Hosts func(hosts []*wire.Host)
 	// Changed is called with every new view, by the goroutine that owns the control state.
 	Changed func(v *View)
 
@@ -198,7 +200,7 @@
 // node describes this instance; blind ones are not named to callers.
 func (w *Watcher) node(blind bool) *wire.Node {
 	return &wire.Node{
-		Name: w.Node.GetName(), Incarnation: w.Node.GetIncarnation(), Caller: w.Node.GetCaller(),
+		Name: w.Node.GetName(), Incarnation: w.Node.GetIncarnation(), Caller: w.Node.GetCaller(), Peer: w.Node.GetPeer(),
 		Region: w.Node.GetRegion(), Zone: w.Node.GetZone(), Leaving: blind || w.teller.leaving.Load(),
 	}
 }
--- a/standin/internal/starter/routed.go
+++ b/standin/internal/starter/routed.go
@@ -104,6 +104,7 @@
 [listen]
 caller = %s:%d
 ready = %s:%d
+peer = %s:%d
 operator = %s:%d
 
 [seeds]
@@ -113,7 +114,8 @@
 [timing]
 answer = 2500ms
 patience = 6s
-`, name, place.Region, place.Zone, address, CallerPort, address, readyPort, address, MetricsPort,
+`, name, place.Region, place.Zone, address, CallerPort, address, readyPort, address, PeerPort, address,
+		MetricsPort,
 		strings.Join(s.Founders, ", "), ControlPort))
 	if err != nil {
 		return err
