First runs are not begun late; targets take part again after a cold time; fewer questions

Cause: a first run held back for a slot was cut off at its route's limit (504 of bookings), a target that had been cold stayed empty, and every request asked for its object's place.

--- a/core/placer/assigner.go
+++ b/core/placer/assigner.go
@@ -38,6 +38,8 @@
 	WarmAt time.Time
 	// Reason is a single word for logs: known, hint, new, joined or region.
 	Reason string
+	// First is set for the request that makes the object's first run at the target.
+	First bool
 	// Settled is set when the object's place changed, or was not known to this instance.
 	Settled bool
 }
@@ -54,7 +56,7 @@
 	parts map[string]float64
 	// offset is where this instance begins among equal targets. All instances would else fill the same ones first.
 	offset float64
-	// newest is when the last target joined that objects may move to.
+	// newest is when the last target became ready for objects.
 	newest time.Time
 	moveAt time.Time
 	// crossAt is when the next object may go to another region.
@@ -105,6 +107,7 @@
 	seen, ok := p.byName[ask.Hint]
 	if ok && p.keeps(now, seen, ask.Regions) {
 		place := a.put(now, ask, seen, "hint")
+		place.First = false
 		a.objects[ask.Object].warmAt = now
 		return place
 	}
@@ -123,12 +126,12 @@
 	if a.objects == nil || len(a.objects) >= maxObjects {
 		a.objects, a.counts = map[string]*assigned{}, map[*Target]map[string]int{}
 	}
-	a.objects[ask.Object] = &assigned{target, ask.Route, now, now.Add(ask.Cold)}
+	a.objects[ask.Object] = &assigned{target: target, route: ask.Route, placedAt: now, warmAt: now.Add(ask.Cold)}
 	if a.counts[target] == nil {
 		a.counts[target] = map[string]int{}
 	}
 	a.counts[target][ask.Route]++
-	return Place{Target: target.Name, Reason: reason, Settled: true}
+	return Place{Target: target.Name, Reason: reason, First: true, Settled: true}
 }
 
 func (a *assigner) forget(object string) {
@@ -157,6 +160,12 @@
 	return p.byName[target.Name] == target && !target.down(now) && inRegions(target.Region, regions)
 }
 
+// Holds reports whether a target may be used for an object that it has warm.
+func (p *Placer) Holds(now time.Time, target string, regions []string) bool {
+	found, ok := p.byName[target]
+	return ok && p.keeps(now, found, regions)
+}
+
 func inRegions(region string, regions []string) bool {
 	return len(regions) == 0 || slices.Contains(regions, region)
 }
@@ -213,7 +222,7 @@
 	return p.away(now, found, ask), "region"
 }
 
-// newcomer returns a target that joined after the object was placed, if the object is of those that fall to it. A new
+// newcomer returns a target that became ready after the object was placed, if the object is of those that fall to it. A new
 // target would else stay empty, for all objects have their place.
 func (p *Placer) newcomer(now time.Time, found *assigned, ask Ask) *Target {
 	if !found.placedAt.Before(p.assigner.newest) {
@@ -222,7 +231,7 @@
 	near := slices.DeleteFunc(slices.Clone(p.hosts.byRegion[found.target.Region]), func(t *Target) bool {
 		return !p.keeps(now, t, ask.Regions)
 	})
-	if target := first(ask.Object, near); target.joinedAt.After(found.placedAt) {
+	if target := first(ask.Object, near); target.readyAt().After(found.placedAt) {
 		return target
 	}
 	return nil
--- a/core/placer/assigner_test.go
+++ b/core/placer/assigner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -218,3 +219,45 @@
 	}
 	is.True(home(now, 3, 4) > 95)
 }
+
+// A target is cold for some seconds and its objects have found other places. It was there all the time, so that nothing tells
+// it from the others when it is warm again; left out, it would idle beside full ones for good.
+func TestTargetGetsItsPartAfterAColdTime(t *testing.T) {
+	is := is.New(t)
+	specs := boards()
+	p := owner("most", specs, 0, 1)
+	const objects = 60
+	place(start, p, "", objects)
+	lost := slices.IndexFunc(specs, func(s Spec) bool { return s.Region == "most" })
+	now := start.Add(10 * time.Second)
+	specs[lost].ColdUntil, specs[lost].Rate = now.Add(3*time.Second), 5
+	p.Update(now, specs, 1)
+	is.Equal(place(now, p, "", objects)[specs[lost].Name], 0)
+	now = now.Add(3 * time.Second)
+	for range 40 {
+		now = now.Add(movePause)
+		place(now, p, "", objects)
+	}
+	is.True(place(now, p, "", objects)[specs[lost].Name] >= 4) // 60 objects, six targets
+}
+
+// A request is to make its object's first run, which takes nearly all the time that its route allows. Held back for a slot,
+// it would be cut off in the middle, with its caller in doubt about a booking; told to come back it has its time anew.
+func TestFirstRunThatWouldBeCutOffIsNotBegun(t *testing.T) {
+	is := is.New(t)
+	p := owner("most", []Spec{{Name: "a", Region: "most", Slots: 1, Own: 1}}, 0, 1)
+	busy, _ := p.Offer(start, &Ticket{Host: "a", Deadline: start.Add(time.Minute)})
+	is.True(busy.Target != nil)
+	k := &Ticket{
+		Host: "a", First: true, Warm: 300 * time.Millisecond, Cold: 1100 * time.Millisecond, Aim: start.Add(800 * time.Millisecond),
+		Deadline: start.Add(1200 * time.Millisecond), Decided: make(chan Decision, 1),
+	}
+	decision, decided := p.Offer(start, k)
+	if !decided {
+		placed := p.Done(start.Add(150*time.Millisecond), busy.Target, Outcome{Took: 150 * time.Millisecond})
+		is.Equal(len(placed), 1)
+		decision = placed[0].Decision
+	}
+	is.True(decision.Target == nil)
+	is.True(decision.Retry.After(start))
+}
--- a/core/placer/crowd.go
+++ b/core/placer/crowd.go
@@ -15,9 +15,6 @@
 	at      time.Time
 	// life is how long a report holds.
 	life time.Duration
-	// first is taken before the first report: the others' part of the slots. After a restart of all instances, callers who
-	// waited meanwhile come at once, and targets taken for empty would get several times their slots.
-	first float64
 }
 
 // see takes what a target has just reported.
@@ -29,8 +26,5 @@
 // expected is the number of others' requests per slot now. Without reports it fades: a crowd that keeps all requests
 // away would never be seen to have gone.
 func (c *crowd) expected(now time.Time) float64 {
-	if c.at.IsZero() {
-		return c.first
-	}
 	return c.perSlot * fade(now.Sub(c.at), c.life)
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -75,6 +75,8 @@
 	// there is expected to have ended.
 	Host   string
 	WarmAt time.Time
+	// First: this is the object's first run at its host.
+	First bool
 	// Decided receives the decision on a ticket that has to wait; it needs room for one.
 	Decided chan Decision
 
@@ -174,10 +176,12 @@
 			changed = true
 			if !p.firstAt.IsZero() && now.After(p.firstAt.Add(announceTime)) {
 				t.joinedAt = now
-				p.assigner.newest = now
 			}
 		}
 		t.Spec = s
+		if ready := t.readyAt(); ready.After(p.assigner.newest) {
+			p.assigner.newest = ready
+		}
 		p.byName[s.Name] = t
 		p.targets = append(p.targets, t)
 		slots += float64(s.Slots)
@@ -189,7 +193,6 @@
 	p.assigner.parts = firstShares(p.Region, regions)
 	p.urgent = math.MaxInt32
 	p.share = slots / float64(max(1, entries))
-	p.crowd.first = 1 - 1/float64(max(1, entries))
 	p.spread.follow(p.Region, regions)
 	p.spread.entries = float64(entries) / float64(max(1, len(regions)))
 	if changed {
@@ -224,6 +227,10 @@
 
 // giveUp is until when a ticket waits: while it can be on time, and a little beyond.
 func (p *Placer) giveUp(now time.Time, t *Ticket) time.Time {
+	// A first run that begins later than this would be cut off at the deadline; its caller can come back with time anew.
+	if last := t.Deadline.Add(-t.Cold); t.First && !last.After(t.Aim) {
+		return last
+	}
 	onTime := t.Aim.Add(-t.Warm)
 	late := now.Add(t.Deadline.Sub(now) / holdParts)
 	if last := t.Deadline.Add(-t.Warm); late.After(last) {
@@ -388,7 +395,11 @@
 	if !host.usable(now) {
 		return nil
 	}
-	if _, ok := p.cost(now, host, t, p.hits.chance(0)); !ok {
+	chance := p.hits.chance(0)
+	if t.First {
+		chance = 0
+	}
+	if _, ok := p.cost(now, host, t, chance); !ok {
 		return nil
 	}
 	t.rank = 0
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -72,6 +72,14 @@
 // objects that leave for it run cold elsewhere.
 const downAfter = 2
 
+// readyAt is from when on the target can keep objects warm, zero if it could from the start.
+func (t *Target) readyAt() time.Time {
+	if t.ColdUntil.After(t.joinedAt) {
+		return t.ColdUntil
+	}
+	return t.joinedAt
+}
+
 // down reports whether the target's objects have to go elsewhere: it can't be reached, or has lost what it kept warm.
 func (t *Target) down(now time.Time) bool {
 	return now.Before(t.ColdUntil) || t.failures >= downAfter && now.Before(t.ejectUntil)
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -67,6 +67,7 @@
 	return &placer.Ticket{
 		Host:     j.place.Target,
 		WarmAt:   j.place.WarmAt,
+		First:    j.place.First,
 		Key:      j.object(),
 		Priority: j.route.GetPriority(),
 		Aim:      j.started.Add(time.Duration(j.route.GetAim())),
@@ -86,10 +87,17 @@
 		return placer.Place{}
 	}
 	started := time.Now()
+	own := c.Locator.Owns(j.view.Peers, object)
+	if place, ok := g.recent(started, object, j.route.GetRegions()); ok && !own {
+		return place
+	}
 	place := c.Locator.Locate(j.request.Context(), j.view.Peers, j.service, placer.Ask{
 		Object: object, Route: j.route.GetName(), Hint: g.seen(object), Cold: cold, Regions: j.route.GetRegions(),
 	})
 	j.located = time.Since(started)
+	if !own {
+		g.confirm(time.Now(), object, place)
+	}
 	return place
 }
 
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -21,9 +21,19 @@
 	place  placer.Placer
 	budget budgeter.Budget
 	// hints are the targets that objects' requests were last sent to.
-	hints map[uint64]string
+	hints map[uint64]hint
 }
 
+// hint is where an object was last; until confirmed it need not be asked for again.
+type hint struct {
+	target    string
+	confirmed time.Time
+}
+
+// confirmation is how long an answer of the instance that answers for an object holds where the object is warm. Each
+// question costs bytes between zones; an object that moved meanwhile is warm at its old target, too.
+const confirmation = 3 * time.Second
+
 // maxHints bounds the hints; without one, an object's next instance to answer for it may place it anew.
 const maxHints = 16384
 
@@ -34,14 +44,38 @@
 	if object == "" {
 		return
 	}
-	g.hint(xxhash.Sum64String(object), target)
+	key := xxhash.Sum64String(object)
+	if g.hints[key].target != target {
+		g.note(key, hint{target: target})
+	}
 }
 
-func (g *gate) hint(object uint64, target string) {
+func (g *gate) note(object uint64, h hint) {
 	if g.hints == nil || len(g.hints) >= maxHints {
-		g.hints = map[uint64]string{}
+		g.hints = map[uint64]hint{}
+	}
+	g.hints[object] = h
+}
+
+// confirm notes the answer of the instance that answers for an object.
+func (g *gate) confirm(now time.Time, object string, place placer.Place) {
+	if place.Target == "" || place.First || now.Before(place.WarmAt) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.note(xxhash.Sum64String(object), hint{place.Target, now.Add(confirmation)})
+}
+
+// recent is an object's place where that was confirmed lately and can still be used.
+func (g *gate) recent(now time.Time, object string, regions []string) (placer.Place, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	found := g.hints[xxhash.Sum64String(object)]
+	if !now.Before(found.confirmed) || !g.place.Holds(now, found.target, regions) {
+		return placer.Place{}, false
 	}
-	g.hints[object] = target
+	return placer.Place{Target: found.target, Reason: "recent"}, true
 }
 
 // remember takes an object's host of an earlier run, unless something newer is known.
@@ -49,7 +83,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, ok := g.hints[object]; !ok {
-		g.hint(object, target)
+		g.note(object, hint{target: target})
 	}
 }
 
@@ -57,7 +91,7 @@
 func (g *gate) seen(object string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.hints[xxhash.Sum64String(object)]
+	return g.hints[xxhash.Sum64String(object)].target
 }
 
 func newGate(region, zone string) *gate {
@@ -121,7 +155,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if ask.Hint == "" {
-		ask.Hint = g.hints[xxhash.Sum64String(ask.Object)]
+		ask.Hint = g.hints[xxhash.Sum64String(ask.Object)].target
 	}
 	return g.place.Assign(now, ask)
 }
--- a/entry/internal/locator/locator.go
+++ b/entry/internal/locator/locator.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return placer.Place{}, err
 	}
-	place := placer.Place{Target: response.Msg.GetTarget(), Reason: owner.Name}
+	place := placer.Place{Target: response.Msg.GetTarget(), Reason: owner.Name, First: response.Msg.GetFirst()}
 	if warming := time.Duration(response.Msg.GetWarming()); warming > 0 {
 		place.WarmAt = time.Now().Add(warming)
 	}
@@ -157,7 +157,7 @@
 		Regions: r.Msg.GetRegions(),
 	})
 	return connect.NewResponse(&wire.PlaceResponse{
-		Target: place.Target, Warming: int64(warming(now, place)),
+		Target: place.Target, First: place.First, Warming: int64(warming(now, place)),
 	}), nil
 }
 
