--- a/core/placer/hosts.go
+++ b/core/placer/hosts.go
@@ -19,8 +19,8 @@
 	minShare = 1e-6
 )
 
-// hosts chooses, for each object, the target of each region that is to keep it warm, and in which order they are to be
-// used. Every entry instance of a region computes nearly the same ones from the same targets and shares, so an object is
+// hosts chooses by hash, for each object without a known host, the target of each region that is to keep it warm, and in
+// which order they are to be used. Every entry instance of a region computes nearly the same ones from the same targets and shares, so an object is
 // warm at its first host whichever instance its last request came by. An object with a place in each region alike would
 // start cold in all of them, which a region with few callers takes half a minute for.
 type hosts struct {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -3,13 +3,14 @@
 // Offer, Done and Tick return what they decided.
 //
 // It answers a load that asks for more slots than there are, from callers of several urgencies, of targets that
-// work faster on objects they handled lately. Each object has a host in each region, the target that is to keep it warm,
-// and goes where it is expected to be done first: mostly to its first host. Few requests may wait at a target; the others
-// wait here, where a more urgent one can overtake them. Room goes first to requests that can still be answered on time,
-// most urgent first.
+// work faster on objects they handled lately. Each object has a host, the target that is to keep it warm, and its requests
+// go there or wait for it. Where no host is known or it can't be used, a request goes where it is expected to be done
+// first. Few requests may wait at a target; the others wait here, where a more urgent one can overtake them. Room goes
+// first to requests that can still be answered on time, most urgent first.
 //
-// A file each: hosts places objects, hits learns how likely they are warm, crowd stands in for what is not known of other
-// instances' requests, spread keeps the parts that go to each region from jumping, target holds what is known of one.
+// A file each: assigner gives objects their hosts, hosts names some by hash for requests whose host is not known, hits
+// learns how likely those are warm, crowd stands in for what is not known of other instances' requests, spread keeps the
+// parts that go to each region from jumping, target holds what is known of one.
 package placer
 
 import (
@@ -24,18 +25,15 @@
 
 const (
 	// warmQueue is how many requests may wait at a target that has the object warm. It works three times as fast as
-	// any other, so a short wait there beats a free slot elsewhere. In the replayed grown night with a third more callers,
-	// 0.82 of the urgent kind are on time instead of 0.77 with a queue of 0.5.
+	// any other, so a short wait there beats a free slot elsewhere.
 	warmQueue = 1.5
 	// lesserQueue is the same for the less urgent kinds of the service, which leave the most urgent one a place in that
-	// queue. In the replayed event night with 2.5 times the callers, 0.85 of the urgent kind are on time and 0.62 of the
-	// other; 0.83 and 0.67 if both may queue alike.
+	// queue.
 	lesserQueue = 1
 	// lateQueue is the same for requests that can't be on time any more: those that can find a shorter queue.
 	lateQueue = 0.5
 	// scarceFrom: from this part of taken slots on, requests wait for the hosts of their objects and start nowhere else,
-	// where they would take the time of three others and push other objects out. In the replayed event night with 2.5
-	// times the callers, 0.71 are on time instead of 0.32 without it.
+	// where they would take the time of three others and push other objects out.
 	scarceFrom = 0.3
 	// holdParts: a request that can't be on time is held for at most a quarter of the time it has left, for its
 	// caller can still be served elsewhere or later.
--- a/core/placer/spread.go
+++ b/core/placer/spread.go
@@ -17,8 +17,8 @@
 	// by staying away, while the next peak of the home region is met by shares that can take it.
 	homeRate = 0.03
 	// playPart is how far a region may be ahead of its share, as a part of two seconds' requests; minPlay is the least,
-	// in requests. In 90 replayed event nights at 0.8 to 1.4 of their load, the worst move in two seconds is 0.14 of a
-	// region's requests; 0.21 with 0.04 and 2. From 1 on downwards, half of the requests would not be served on time.
+	// in requests. More would let chance add up to moves that links are not planned for, less would refuse requests that
+	// could be served on time.
 	playPart = 0.02
 	minPlay  = 1.4
 	// gapParts is the weight of the newest gap between requests in their rate: a fiftieth.
