A request does not wait for a target that left right after a start

In the first two seconds a host that is not known counts as one that has yet to announce itself; one that was known and left did, too. Ruled out: the target's own queue, the other target's room (the refusals came from the entry instance, with no send). Change: only hosts not met since the start are waited for. TestNobodyWaitsForATargetThatLeft failed before.

--- a/core/placer/assigner.go
+++ b/core/placer/assigner.go
@@ -108,14 +108,13 @@
 func (p *Placer) assign(now time.Time, ask Ask) Place {
 	a := &p.assigner
 	a.forget(ask.Object)
-	seen, ok := p.byName[ask.Hint]
-	if ok && p.keeps(now, seen, ask.Regions) {
+	if seen, ok := p.byName[ask.Hint]; ok && p.keeps(now, seen, ask.Regions) {
 		place := a.put(now, ask, seen, "hint")
 		place.First = false
 		a.objects[ask.Object].warmAt = now
 		return place
 	}
-	if ask.Hint != "" && !ok && now.Before(p.firstAt.Add(announceTime)) {
+	if p.awaited(now, ask.Hint) {
 		return Place{Target: ask.Hint, Reason: "awaited"}
 	}
 	target := p.emptiest(p.region(now, ask), now, ask)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -119,8 +119,9 @@
 	// Far is what it takes to reach another region and come back.
 	Far time.Duration
 
-	// firstAt is when the first targets became known.
+	// firstAt is when the first targets became known, met the names of those known since.
 	firstAt time.Time
+	met     map[string]bool
 	targets []*Target
 	byName  map[string]*Target
 	queue   []*Ticket
@@ -165,14 +166,14 @@
 	regions := map[string]float64{}
 	changed := len(specs) != len(old)
 	if p.firstAt.IsZero() && len(specs) > 0 {
-		p.firstAt = now
+		p.firstAt, p.met = now, map[string]bool{}
 	}
 	for _, s := range specs {
 		t, ok := old[s.Name]
 		if !ok || t.Incarnation != s.Incarnation {
 			t = newTarget()
 			changed = true
-			if !p.firstAt.IsZero() && now.After(p.firstAt.Add(announceTime)) {
+			if !p.firstAt.IsZero() && !p.starting(now) {
 				t.joinedAt = now
 			}
 		}
@@ -181,6 +182,9 @@
 			p.assigner.newest = ready
 		}
 		p.byName[s.Name] = t
+		if p.starting(now) {
+			p.met[s.Name] = true
+		}
 		p.targets = append(p.targets, t)
 		slots += float64(s.Slots)
 		regions[s.Region] += float64(s.Slots)
@@ -368,11 +372,15 @@
 	return target
 }
 
-// awaited reports whether the host of a request's object has yet to announce itself to a system that has just started.
-// Elsewhere, the object would run cold and push out others whose targets are there already.
-func (p *Placer) awaited(now time.Time, t *Ticket) bool {
-	_, known := p.byName[t.Host]
-	return t.Host != "" && !known && now.Before(p.firstAt.Add(announceTime))
+// starting reports whether targets may still have to announce themselves to a system that has just started.
+func (p *Placer) starting(now time.Time) bool {
+	return now.Before(p.firstAt.Add(announceTime))
+}
+
+// awaited reports whether the host of an object has yet to announce itself. Elsewhere, the object would run cold and push
+// out others whose targets are there already. A target that was there and left is not waited for.
+func (p *Placer) awaited(now time.Time, host string) bool {
+	return host != "" && p.starting(now) && !p.met[host]
 }
 
 // host returns the target that keeps the object of a request warm, or nil if there is none or it can't be used.
@@ -410,7 +418,7 @@
 	if host := p.host(now, t); host != nil {
 		return p.enter(now, t, host)
 	}
-	if p.awaited(now, t) {
+	if p.awaited(now, t.Host) {
 		return nil
 	}
 	hosts := p.hosts.of(t.Key)
