--- a/core/placer/assigner.go
+++ b/core/placer/assigner.go
@@ -40,7 +40,7 @@
 	// WarmAt is when the object's first run there is expected to have ended, zero if it is warm or if the asker is to
 	// make that run.
 	WarmAt time.Time
-	// Reason is a single word for logs: known, hint, new, joined or region.
+	// Reason is a single word for logs: known, hint, new, joined, region or awaited.
 	Reason string
 	// First is set for the request that makes the object's first run at the target.
 	First bool
@@ -62,6 +62,7 @@
 	offset float64
 	// newest is when the last target became ready for objects.
 	newest time.Time
+	// moveAt is when the next object may move at all.
 	moveAt time.Time
 	// crossAt is when the next object may go to another region.
 	crossAt time.Time
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -70,7 +70,7 @@
 	// Regions that may serve the request; empty allows all.
 	Regions []string
 	// Host is the target that keeps the object warm, or empty if none is known; WarmAt is when the object's first run
-	// there is expected to have ended.
+	// there is expected to have ended, zero if it has.
 	Host   string
 	WarmAt time.Time
 	// First: this is the object's first run at its host.
