--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -12,7 +12,7 @@
 	"chervilrail.example/entry/internal/watcher"
 )
 
-// far is what it takes to reach another region and come back: 70 ms and 110 ms between the regions of today.
+// far is taken for the way to another region and back.
 const far = 70 * time.Millisecond
 
 // gate guards one service: its queue and slots, and its retry budget.
