Objects come home to a region whose targets are back

Change: after targets have joined, objects go to the region that has the fewest for its part, at 2% a second. With the 10% that may overflow that is under the 15% in two seconds for which links are planned.

Test: TestObjectsComeHomeToARegionThatIsBack, failing before.

--- a/core/placer/assigner.go
+++ b/core/placer/assigner.go
@@ -12,6 +12,9 @@
 	movePause = 250 * time.Millisecond
 	// announceTime is in which the targets that are there announce themselves to a system that has just started.
 	announceTime = 2 * time.Second
+	// crossRate is the part of its objects that an instance moves between regions in a second. Two seconds of it and all
+	// of awayPart leave the links between regions what they are planned for.
+	crossRate = 0.02
 	// half an object on top makes the parts of the regions come out even where there are few objects.
 	half = 0.5
 )
@@ -36,7 +39,7 @@
 	// WarmAt is when the object's first run there is expected to have ended, zero if it is warm or if the asker is to
 	// make that run.
 	WarmAt time.Time
-	// Reason is a single word for logs: known, hint, new, joined or awaited.
+	// Reason is a single word for logs: known, hint, new, joined, region or awaited.
 	Reason string
 	// First is set for the request that makes the object's first run at the target.
 	First bool
@@ -60,6 +63,8 @@
 	newest time.Time
 	// moveAt is when the next object may move at all.
 	moveAt time.Time
+	// crossAt is when the next object may go to another region.
+	crossAt time.Time
 }
 
 // assigned is one object's place.
@@ -88,9 +93,9 @@
 	if !ok || !p.keeps(now, found.target, ask.Regions) {
 		return p.assign(now, ask)
 	}
-	if target := p.newcomer(now, found, ask); target != nil {
+	if target, reason := p.better(now, found, ask); target != nil {
 		a.moveAt = now.Add(movePause)
-		return a.put(now, ask, target, "joined")
+		return a.put(now, ask, target, reason)
 	}
 	place := Place{Target: found.target.Name, Reason: "known"}
 	if now.Before(found.warmAt) {
@@ -172,8 +177,7 @@
 func (p *Placer) region(now time.Time, ask Ask) string {
 	best, least := "", math.Inf(1)
 	for _, r := range slices.Sorted(maps.Keys(p.assigner.parts)) {
-		open := p.open(now, r, ask)
-		if score := (float64(p.objectsIn(r, ask.Route)) + half) / max(minShare, p.assigner.parts[r]); open && score < least {
+		if score := p.filled(r, ask.Route, 0); score < least && p.open(now, r, ask) {
 			best, least = r, score
 		}
 	}
@@ -209,12 +213,20 @@
 	return best
 }
 
+// better returns the target that an object is to move to now and why, or nil. Objects move only after targets have joined.
+func (p *Placer) better(now time.Time, found *assigned, ask Ask) (*Target, string) {
+	if now.Before(p.assigner.moveAt) || now.Before(found.warmAt) || !found.placedAt.Before(p.assigner.newest) {
+		return nil, ""
+	}
+	if target := p.newcomer(now, found, ask); target != nil {
+		return target, "joined"
+	}
+	return p.roomier(now, found, ask), "region"
+}
+
 // newcomer returns a target that became ready after the object was placed, if the object is of those that fall to it. A new
 // target would else stay empty, for all objects have their place.
 func (p *Placer) newcomer(now time.Time, found *assigned, ask Ask) *Target {
-	if now.Before(p.assigner.moveAt) || now.Before(found.warmAt) || !found.placedAt.Before(p.assigner.newest) {
-		return nil
-	}
 	near := slices.DeleteFunc(slices.Clone(p.hosts.byRegion[found.target.Region]), func(t *Target) bool {
 		return !p.keeps(now, t, ask.Regions)
 	})
@@ -224,6 +236,27 @@
 	return nil
 }
 
+// roomier returns a target in a region that has fewer objects for its part than the object's. A region that had lost all
+// its targets would else stay empty when they are back, for its objects have found places elsewhere.
+func (p *Placer) roomier(now time.Time, found *assigned, ask Ask) *Target {
+	a := &p.assigner
+	if now.Before(a.crossAt) {
+		return nil
+	}
+	from, to := found.target.Region, p.region(now, ask)
+	if from == to || p.filled(to, ask.Route, 1) > p.filled(from, ask.Route, 0) {
+		a.crossAt = now.Add(movePause)
+		return nil
+	}
+	a.crossAt = now.Add(time.Duration(float64(time.Second) / (crossRate * float64(len(a.objects)))))
+	return p.emptiest(to, now, ask)
+}
+
+// filled is how many objects of a route a region has for its part, with some more.
+func (p *Placer) filled(region, route string, more float64) float64 {
+	return (float64(p.objectsIn(region, route)) + more + half) / max(minShare, p.assigner.parts[region])
+}
+
 // open reports whether a region has a target for an object.
 func (p *Placer) open(now time.Time, region string, ask Ask) bool {
 	return slices.ContainsFunc(p.hosts.byRegion[region], func(t *Target) bool { return p.keeps(now, t, ask.Regions) })
--- a/core/placer/assigner_test.go
+++ b/core/placer/assigner_test.go
@@ -179,6 +179,42 @@
 	is.True(n >= 8 && n <= 28) // 132 objects, seven targets
 }
 
+// All targets of a region are emptied for some work and taken back. Their objects have found places in other regions; left
+// there, all requests of the region would cross the links for good, beside idle targets. They come home, but no faster than
+// links are planned for.
+func TestObjectsComeHomeToARegionThatIsBack(t *testing.T) {
+	is := is.New(t)
+	specs := boards()
+	p := owner("most", specs, 0, 1)
+	const objects = 100
+	atHome := func(now time.Time) int {
+		n := 0
+		for name, count := range place(now, p, "", objects) {
+			if p.byName[name].Region == "most" {
+				n += count
+			}
+		}
+		return n
+	}
+	is.Equal(atHome(start), objects)
+	now := start.Add(10 * time.Second)
+	p.Update(now, slices.DeleteFunc(slices.Clone(specs), func(s Spec) bool { return s.Region == "most" }), 1)
+	is.Equal(atHome(now), 0)
+	now = now.Add(10 * time.Second)
+	p.Update(now, specs, 1)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		atHome(now)
+	}
+	n := atHome(now)
+	is.True(n >= 3 && n <= 5) // a fiftieth a second, for two seconds
+	for range 8000 {
+		now = now.Add(10 * time.Millisecond)
+		atHome(now)
+	}
+	is.True(atHome(now) > 95)
+}
+
 // A target is cold for some seconds and its objects have found other places. It was there all the time, so that nothing tells
 // it from the others when it is warm again; left out, it would idle beside full ones for good.
 func TestTargetGetsItsPartAfterAColdTime(t *testing.T) {
