--- a/core/gossiper/hosts_test.go
+++ b/core/gossiper/hosts_test.go
@@ -78,6 +78,7 @@
 	}
 	is.True(a.HostsChanged() > changed) // the file is written anew
 	t.Run("also if they are told late", func(t *testing.T) {
+		is := is.New(t)
 		a.Settle([]*wire.Host{host(3, "t1")})
 		is.Equal(len(a.Hosts("r")), 1)
 	})
