First overflows go to roomy regions, from a quarter of free slots on

Change: a quarter of the slots has to be free, and the region's load below roomy (0.6), from which on requests come home.

--- a/core/placer/overflow.go
+++ b/core/placer/overflow.go
@@ -10,9 +10,10 @@
 	// of 15% in two seconds.
 	awayPart = 0.1
 	awaySpan = 2 * time.Second
-	// coldFree is the part of a target's slots that has to be free for an object's first overflow. That run is cold and
-	// takes as long as three others; where all regions are nearly full, such runs would fill the rest.
-	coldFree = 0.5
+	// coldFree is the part of a target's slots that has to be free for an object's first overflow, in a region with less
+	// load than roomy. That run is cold and takes as long as three others: where all regions are nearly full, such runs
+	// would fill the rest.
+	coldFree = 0.25
 )
 
 // overflow takes requests whose host has no room for them. It answers the peak at which some targets are full while others
@@ -72,15 +73,13 @@
 	late := !t.onTime(now.Add(p.expectedWait(now, t)))
 	cutOff := now.Add(t.Cold).After(t.Deadline)
 	for _, target := range p.hosts.of(t.Key) {
-		if target == host || !p.mayOverflow(now, t, host, target) {
+		if target == host || !p.mayOverflow(now, t, host, target) || p.free(now, target) < 1 {
 			continue
 		}
-		free := float64(target.Slots) - p.held(now, target)
-		warm := p.overflow.warm(now, t.Key, target.Name)
-		if !warm && (!late || cutOff || free < coldFree*float64(target.Slots)) || free < 1 {
-			continue
-		}
-		if !warm {
+		if !p.overflow.warm(now, t.Key, target.Name) {
+			if !late || cutOff || !p.idle(now, target) {
+				continue
+			}
 			p.overflow.note(now, t.Key, target.Name)
 		}
 		t.rank = -1
@@ -89,6 +88,16 @@
 	return nil
 }
 
+// free estimates how many slots of a target are free.
+func (p *Placer) free(now time.Time, target *Target) float64 {
+	return float64(target.Slots) - p.held(now, target)
+}
+
+// idle reports whether a target has slots to spare for runs that start cold.
+func (p *Placer) idle(now time.Time, target *Target) bool {
+	return p.free(now, target) >= coldFree*float64(target.Slots) && p.spread.load(now, target.Region) < roomy
+}
+
 // mayOverflow reports whether a request may go from its full host to a target. While something is broken, regions take as
 // much as they have room for.
 func (p *Placer) mayOverflow(now time.Time, t *Ticket, host, target *Target) bool {
