--- a/core/dealer/dealer.go
+++ b/core/dealer/dealer.go
@@ -4,7 +4,6 @@
 package dealer
 
 import (
-	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,22 +47,20 @@
 
 // Holder returns the instance that alone sends to a target, of those in its region if there are any.
 func Holder(target string, instances []Instance, region string) string {
+	return First(target, partners(instances, region))
+}
+
+// First returns the name with the greatest rendezvous weight for a key, or nothing where there are none.
+func First(key string, names []string) string {
 	best, most := "", uint64(0)
-	for _, name := range partners(instances, region) {
-		if h := hashOf(target+"/"+name, 0); best == "" || h > most {
+	for _, name := range names {
+		if h := hashOf(key+"/"+name, 0); best == "" || h > most {
 			best, most = name, h
 		}
 	}
 	return best
 }
 
-// Order returns names by their rendezvous weight for a key, the greatest first.
-func Order(key string, names []string) []string {
-	out := slices.Clone(names)
-	sort.Slice(out, func(i, j int) bool { return hashOf(key+"/"+out[i], 0) > hashOf(key+"/"+out[j], 0) })
-	return out
-}
-
 func hashOf(name string, n int32) uint64 {
 	var d xxhash.Digest
 	d.ResetWithSeed(uint64(n))
--- /dev/null
+++ b/core/placer/choice.go
@@ -0,0 +1,168 @@
+package placer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// warmQueue is how many requests may wait at a target that has the object warm. It works three times as fast as
+	// any other, so a short wait there beats a free slot elsewhere.
+	warmQueue = 1.5
+	// lesserQueue is the same for the less urgent kinds of the service, which leave the most urgent one a place in that
+	// queue.
+	lesserQueue = 1
+	// lateQueue is the same for requests that can't be on time any more: those that can find a shorter queue.
+	lateQueue = 0.5
+	// scarceFrom: from this part of taken slots on, requests wait for the hosts of their objects and start nowhere else,
+	// where they would take the time of three others and push other objects out.
+	scarceFrom = 0.3
+	// zoneCost prefers the own availability zone among equals: bytes between zones cost, time hardly differs.
+	zoneCost = time.Millisecond
+	// emptier is what a full target costs over an empty one, where both have room.
+	emptier = 10 * time.Millisecond
+)
+
+// place takes a slot for a request, or returns nil if no target has room for it.
+func (p *Placer) place(now time.Time, t *Ticket) *Target {
+	target := p.choose(now, t)
+	if target != nil {
+		target.start(now)
+		p.follow(now)
+		p.spread.sent(target.Region)
+		host := p.byName[t.Host]
+		p.overflow.placed(now, host != nil && target != host && target.Region != host.Region)
+	}
+	return target
+}
+
+// starting reports whether targets may still have to announce themselves to a system that has just started.
+func (p *Placer) starting(now time.Time) bool {
+	return now.Before(p.firstAt.Add(announceTime))
+}
+
+// awaited reports whether the host of an object has yet to announce itself. Elsewhere, the object would run cold and push
+// out others whose targets are there already. A target that was there and left is not waited for.
+func (p *Placer) awaited(now time.Time, host string) bool {
+	return host != "" && p.starting(now) && !p.met[host]
+}
+
+// host returns the target that keeps the object of a request warm, or nil if there is none or it can't be used.
+func (p *Placer) host(now time.Time, t *Ticket) *Target {
+	host, ok := p.byName[t.Host]
+	if !ok || !p.allowed(host, t) || host.down(now) {
+		return nil
+	}
+	return host
+}
+
+// enter returns the host of a request's object if it has room. A request that comes while the object runs there for
+// the first time waits: it would run cold beside that run, for three times the slots' time, and end no sooner.
+func (p *Placer) enter(now time.Time, t *Ticket, host *Target) *Target {
+	if now.Before(t.WarmAt) && (p.load.scarce || now.Add(t.Cold).After(t.Aim)) {
+		return nil
+	}
+	if !host.usable(now) {
+		return nil
+	}
+	chance := p.hits.chance(0)
+	if t.First {
+		chance = 0
+	}
+	if _, ok := p.cost(now, host, t, chance); !ok {
+		return nil
+	}
+	t.rank = 0
+	return host
+}
+
+// choose returns the target of the request's object. Where none is known, it is the one where the request is expected to
+// be done first, of those in regions that may get one more.
+func (p *Placer) choose(now time.Time, t *Ticket) *Target {
+	if host := p.host(now, t); host != nil {
+		if target := p.enter(now, t, host); target != nil {
+			return target
+		}
+		return p.beside(now, t, host)
+	}
+	if p.awaited(now, t.Host) {
+		return nil
+	}
+	hosts := p.hosts.of(t.Key)
+	candidates := p.targets
+	if p.load.scarce && p.anyUsable(now, t, hosts) {
+		candidates = hosts
+	}
+	var best *Target
+	var least time.Duration
+	for _, target := range candidates {
+		if !p.allowed(target, t) || !target.usable(now) || !p.spread.allows(now, target.Region) {
+			continue
+		}
+		cost, ok := p.cost(now, target, t, p.hits.chance(slices.Index(hosts, target)))
+		if ok && (best == nil || cost < least) {
+			best, least = target, cost
+		}
+	}
+	if best != nil {
+		t.rank = slices.Index(hosts, best)
+	}
+	return best
+}
+
+func (p *Placer) allowed(target *Target, t *Ticket) bool {
+	if slices.Contains(t.Tried, target.Name) {
+		return false
+	}
+	return inRegions(target.Region, t.Regions)
+}
+
+// held estimates how many requests a target holds: this instance's for certain, and those of others. What others had
+// there when it last answered says less the older it is; beyond that the target is taken for an average one.
+func (p *Placer) held(now time.Time, t *Target) float64 {
+	weight := fade(now.Sub(t.othersAt), p.crowd.life)
+	return float64(t.running) + t.others*weight + p.load.crowd*float64(t.Slots)*(1-weight)
+}
+
+// full is the part of all slots that is taken.
+func (p *Placer) full(now time.Time) float64 {
+	held, slots := 0.0, 0.0
+	for _, t := range p.targets {
+		held += min(float64(t.Slots), p.held(now, t))
+		slots += float64(t.Slots)
+	}
+	return held / max(1, slots)
+}
+
+// anyUsable reports whether a request may go to some of the targets at all now.
+func (p *Placer) anyUsable(now time.Time, t *Ticket, list []*Target) bool {
+	return slices.ContainsFunc(list, func(target *Target) bool { return p.allowed(target, t) && target.usable(now) })
+}
+
+// cost estimates the time to the answer; false means that the target has no room for one more. Chance is how likely the
+// target has the object warm.
+func (p *Placer) cost(now time.Time, target *Target, t *Ticket, chance float64) (time.Duration, bool) {
+	work := time.Duration(chance*float64(t.Warm) + (1-chance)*float64(t.Cold))
+	queue := warmQueue * chance
+	slots := float64(target.Slots)
+	held := p.held(now, target)
+	if t.Priority > p.urgent {
+		queue = min(queue, lesserQueue)
+	}
+	if !t.onTime(now) {
+		queue = lateQueue
+	}
+	if held+1 > slots+queue && target.running >= target.Own {
+		return 0, false
+	}
+	wait := max(0, held+1-slots) / max(1, slots) * float64(p.usual())
+	cost := time.Duration((float64(work) + wait) * target.slowness(now))
+	if target.Region != p.Region {
+		cost += p.Far
+	}
+	if target.Zone != p.Zone {
+		cost += zoneCost
+	}
+	// Of equals, the emptier one: sends to it collide least with other entry instances'.
+	return cost + time.Duration(held/max(1, slots)*float64(emptier)), true
+}
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -264,7 +264,7 @@
 			byName[other.name] = other
 		}
 	}
-	owner := byName[dealer.Order(t.Key, names)[0]].placer
+	owner := byName[dealer.First(t.Key, names)].placer
 	place := owner.Assign(r.now, Ask{Object: t.Key, Route: k.name, Cold: t.Cold})
 	t.Host, t.WarmAt, t.First = place.Target, place.WarmAt, place.First
 }
--- a/entry/internal/locator/locator.go
+++ b/entry/internal/locator/locator.go
@@ -98,7 +98,7 @@
 	if len(names) == 0 {
 		return Peer{Name: l.Self}
 	}
-	return byName[dealer.Order(object, names)[0]]
+	return byName[dealer.First(object, names)]
 }
 
 // Locate says where a request for an object goes. An instance that does not answer is left out for a while; the one that
