A controller that has no group yet takes no announcements

Eight of forty targets had announced themselves to the controller with the empty disk, at 33.8 to 34.8 s; it waited for a seat, knew no other controller to pass anything on to, and acknowledged each announcement. Everybody else heard of these targets at 41.6 s, when it had joined.

Ruled out: hosts at targets that had left (these had not), entry instances that miss news (all of them did, in the same second).

Change: without a group, an announcement is refused as not taken, and the target asks the next controller, as the platform has it do. Test: TestControllerWithoutAGroupTakesNoAnnouncements, failing before.

--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -18,6 +18,10 @@
 	if err := registrar.CheckForm(r); err != nil {
 		return err
 	}
+	// With nobody to pass it on to, the announcement would be lost: the target asks another controller.
+	if len(x.Mind.Routing().Members) == 0 {
+		return &UnjoinedError{}
+	}
 	return x.take(ctx, r)
 }
 
--- a/controller/internal/exchanger/errors.go
+++ b/controller/internal/exchanger/errors.go
@@ -6,6 +6,12 @@
 // Error implements error.
 func (*UnlinkedError) Error() string { return "most controllers can't be reached" }
 
+// UnjoinedError says that this controller is not in the group yet, and knows no other one.
+type UnjoinedError struct{}
+
+// Error implements error.
+func (*UnjoinedError) Error() string { return "this controller has not joined the others yet" }
+
 // LeaderlessError says that no leading controller is known here.
 type LeaderlessError struct{}
 
--- a/controller/internal/exchanger/exchanger_test.go
+++ b/controller/internal/exchanger/exchanger_test.go
@@ -76,6 +76,20 @@
 	is.True(errors.As(err, &unlinked))
 }
 
+// A controller comes back with an empty disk and waits for seconds to be taken into the group; until then it knows no other
+// controller to pass anything on to. A target whose announcement it took would be seen by nobody after a restart of all, and
+// its objects' requests would be refused for as long.
+func TestControllerWithoutAGroupTakesNoAnnouncements(t *testing.T) {
+	is := is.New(t)
+	x := begin(t)
+	for _, state := range []wire.TargetState{wire.TargetState_TARGET_READY, wire.TargetState_TARGET_LEAVING} {
+		var alone *UnjoinedError
+		is.True(errors.As(x.Announce(context.Background(), announcement(1, state)), &alone))
+	}
+	_, known := x.gossip.Target("t1")
+	is.True(!known)
+}
+
 func TestLateLeaveOfAFormerRunIsIgnored(t *testing.T) {
 	is := is.New(t)
 	x := begin(t, "c1")
