First overflows go to regions with much less load than the host's

Change: a region takes first overflows with less than 0.7 of the load of the host's region and less than 0.85 at all, as regions take requests without a host.

Kept for what it says: a bound relative to the host's region holds at any load.

--- a/core/placer/overflow.go
+++ b/core/placer/overflow.go
@@ -10,9 +10,8 @@
 	// of 15% in two seconds.
 	awayPart = 0.1
 	awaySpan = 2 * time.Second
-	// coldFree is the part of a target's slots that has to be free for an object's first overflow, in a region with less
-	// load than roomy. That run is cold and takes as long as three others: where all regions are nearly full, such runs
-	// would fill the rest.
+	// coldFree is the part of a target's slots that has to be free for an object's first overflow. That run is cold and
+	// takes as long as three others.
 	coldFree = 0.25
 )
 
@@ -77,7 +76,7 @@
 			continue
 		}
 		if !p.overflow.warm(now, t.Key, target.Name) {
-			if !late || cutOff || !p.idle(now, target) {
+			if !late || cutOff || !p.idle(now, host, target) {
 				continue
 			}
 			p.overflow.note(now, t.Key, target.Name)
@@ -93,9 +92,14 @@
 	return float64(target.Slots) - p.held(now, target)
 }
 
-// idle reports whether a target has slots to spare for runs that start cold.
-func (p *Placer) idle(now time.Time, target *Target) bool {
-	return p.free(now, target) >= coldFree*float64(target.Slots) && p.spread.load(now, target.Region) < roomy
+// idle reports whether a target has slots to spare for runs that start cold, in a region with much less load than the
+// host's. Where all regions are nearly full, such runs would fill the rest.
+func (p *Placer) idle(now time.Time, host, target *Target) bool {
+	if p.free(now, target) < coldFree*float64(target.Slots) {
+		return false
+	}
+	load := p.spread.load(now, target.Region)
+	return load < crowded && load < lighter*p.spread.load(now, host.Region)
 }
 
 // mayOverflow reports whether a request may go from its full host to a target. While something is broken, regions take as
