--- a/core/placer/choice.go
+++ b/core/placer/choice.go
@@ -65,14 +65,13 @@
 	if !host.usable(now) {
 		return nil
 	}
-	chance := p.hits.chance(0)
+	chance := warmChance(0)
 	if t.First {
 		chance = 0
 	}
 	if _, ok := p.cost(now, host, t, chance); !ok {
 		return nil
 	}
-	t.rank = 0
 	return host
 }
 
@@ -99,14 +98,11 @@
 		if !p.allowed(target, t) || !target.usable(now) || !p.spread.allows(now, target.Region) {
 			continue
 		}
-		cost, ok := p.cost(now, target, t, p.hits.chance(slices.Index(hosts, target)))
+		cost, ok := p.cost(now, target, t, warmChance(slices.Index(hosts, target)))
 		if ok && (best == nil || cost < least) {
 			best, least = target, cost
 		}
 	}
-	if best != nil {
-		t.rank = slices.Index(hosts, best)
-	}
 	return best
 }
 
--- a/core/placer/overflow.go
+++ b/core/placer/overflow.go
@@ -81,7 +81,6 @@
 			}
 			p.overflow.note(now, t.Key, target.Name)
 		}
-		t.rank = -1
 		return target
 	}
 	return nil
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -9,7 +9,7 @@
 // can overtake them. Room goes first to requests that can still be answered on time, most urgent first.
 //
 // A file each: choice finds the target of a request, queue orders those that wait, assigner gives objects their hosts, hosts
-// names some by hash for requests whose host is not known, hits learns how likely those are warm, overflow finds a place
+// names some by hash for requests whose host is not known, chance says how likely those are warm, overflow finds a place
 // for requests whose host is full, crowd stands in for what is not known of other instances' requests, spread keeps the
 // parts that go to each region from jumping, target holds what is known of one.
 package placer
@@ -59,16 +59,12 @@
 
 	arrived time.Time
 	giveUp  time.Time
-	// rank is the place of the chosen target among the object's hosts, -1 for none of them.
-	rank int
 }
 
 // Decision is what happened to a ticket.
 type Decision struct {
 	// Target is where to send the request, nil if it is refused.
 	Target *Target
-	// Rank is the target's place among those that keep the object warm, -1 for none of them.
-	Rank int
 	// Retry is when a refused caller should come back.
 	Retry time.Time
 	// Reason is a single word for logs.
@@ -85,9 +81,6 @@
 	Unreachable bool
 	// Load is the target's report, if it sent one.
 	Load *messenger.Load
-	// Rank is the decision's, Warm whether the target had the object warm; both count only with an answer.
-	Rank int
-	Warm bool
 }
 
 // Placer decides for one service. Set the exported fields before use.
@@ -116,7 +109,6 @@
 	spread spread
 	hosts  hosts
 	crowd  crowd
-	hits   hits
 	load   load
 
 	overflow overflow
@@ -195,7 +187,7 @@
 	p.look(now)
 	if p.ahead(now, t) == 0 {
 		if target := p.place(now, t); target != nil {
-			return Decision{Target: target, Rank: t.rank}, true
+			return Decision{Target: target}, true
 		}
 	}
 	wait := p.expectedWait(now, t)
@@ -214,7 +206,6 @@
 		p.crowd.see(now, t)
 		p.spread.see(now, t, o.Load)
 	}
-	p.hits.see(o)
 	if o.Unreachable {
 		p.spread.disturb(now)
 	}
@@ -242,7 +233,7 @@
 	var rest []*Ticket
 	for _, t := range p.queue {
 		if target := p.place(now, t); target != nil {
-			out = append(out, Placed{t, Decision{Target: target, Rank: t.rank}})
+			out = append(out, Placed{t, Decision{Target: target}})
 			continue
 		}
 		if !now.Before(t.giveUp) {
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -243,7 +243,7 @@
 	}
 	done := func(d Decision) { r.send(e, k, t, d, arrived) }
 	if r.naive {
-		done(Decision{Target: r.pickNaively(e), Rank: -1})
+		done(Decision{Target: r.pickNaively(e)})
 		return
 	}
 	decision, decided := e.placer.Offer(r.now, t)
@@ -317,11 +317,10 @@
 	sent := r.now
 	finish := func(load messenger.Load, ran bool) {
 		r.after(way, func() {
-			outcome := Outcome{Load: &load, Failed: !ran, Rank: d.Rank}
+			outcome := Outcome{Load: &load, Failed: !ran}
 			if ran {
-				// As an entry instance sees it: a wait at the target looks like a cold object.
+				// The time that an entry instance sees holds the wait at the target.
 				outcome.Took = r.now.Sub(sent) - 2*way
-				outcome.Warm = outcome.Took < k.work*2/3
 			}
 			for _, placed := range e.placer.Done(r.now, target, outcome) {
 				placed.Ticket.Decided <- placed.Decision
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -148,7 +148,7 @@
 		j.sends++
 	}
 	out, end := c.judge(j, answer, how)
-	outcome := placer.Outcome{Failed: end != answered, Rank: d.Rank}
+	outcome := placer.Outcome{Failed: end != answered}
 	if how == pooler.Answered {
 		outcome.Load = c.Face.Reply(answer.Status, answer.Header).Load
 		j.load = outcome.Load
@@ -158,7 +158,7 @@
 		if t.Region != c.Region {
 			outcome.Took = max(0, outcome.Took-far)
 		}
-		outcome.Usual, outcome.Warm = c.routes.usual(j.route, outcome.Took)
+		outcome.Usual = c.routes.usual(j.route, outcome.Took)
 		outcome.Failed = answer.Status >= http.StatusInternalServerError
 		c.routes.worked(j.route, outcome.Took)
 		c.clear(start, j)
--- a/entry/internal/carrier/routes.go
+++ b/entry/internal/carrier/routes.go
@@ -87,16 +87,15 @@
 	return old + (took-old)/parts
 }
 
-// usual returns what a request of the route was expected to take, given that it took this long, and whether that shows
-// that the target had the object warm.
-func (s *routes) usual(r *wire.Route, took time.Duration) (time.Duration, bool) {
+// usual returns what a request of the route was expected to take, given that it took this long.
+func (s *routes) usual(r *wire.Route, took time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.state(r)
 	if state.isWarm(took) && state.warm > 0 {
-		return state.warm, true
+		return state.warm
 	}
-	return state.cold, false
+	return state.cold
 }
 
 // expected returns the service times at a warm and at a cold target.
