--- a/core/placer/choice.go
+++ b/core/placer/choice.go
@@ -31,7 +31,7 @@
 		p.follow(now)
 		p.spread.sent(target.Region)
 		host := p.byName[t.Host]
-		p.overflow.placed(now, host != nil && target != host && target.Region != host.Region)
+		p.overflow.placed(now, host != nil && target.Region != host.Region)
 	}
 	return target
 }
--- a/core/storer/hosts.go
+++ b/core/storer/hosts.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io/fs"
-	"os"
 	"path/filepath"
 
 	"google.golang.org/protobuf/proto"
@@ -21,21 +20,13 @@
 
 // Load reads the hosts that were last saved; none if there is no file.
 func (h *Hosts) Load() ([]*wire.Host, error) {
-	path := filepath.Join(h.Folder, hostsFile)
-	data, err := os.ReadFile(path)
+	out := &wire.Hosts{}
+	err := readMessage(filepath.Join(h.Folder, hostsFile), out)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
-		return nil, &FileError{Action: "read", Path: path, Cause: err}
-	}
-	payload, _, err := decodeRecord(data)
-	if err != nil {
-		return nil, &DamageError{Path: path, Offset: 0, Reason: err.Error()}
-	}
-	out := &wire.Hosts{}
-	if err := proto.Unmarshal(payload.data, out); err != nil {
-		return nil, &DamageError{Path: path, Offset: 0, Reason: err.Error()}
+		return nil, err
 	}
 	return out.GetHosts(), nil
 }
--- a/core/storer/recovery.go
+++ b/core/storer/recovery.go
@@ -19,22 +19,30 @@
 	Entries  []*wire.Entry
 }
 
-func (s *Storer) readIdentity() (*wire.Identity, error) {
-	path := filepath.Join(s.Folder, identityFile)
+// readMessage reads a file that holds one record.
+func readMessage(path string, out proto.Message) error {
 	data, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
-	}
 	if err != nil {
-		return nil, &FileError{Action: "read", Path: path, Cause: err}
+		return &FileError{Action: "read", Path: path, Cause: err}
 	}
-	identity := &wire.Identity{}
 	payload, _, err := decodeRecord(data)
 	if err != nil {
-		return nil, &DamageError{Path: path, Offset: 0, Reason: err.Error()}
+		return &DamageError{Path: path, Offset: 0, Reason: err.Error()}
 	}
-	if err := proto.Unmarshal(payload.data, identity); err != nil {
-		return nil, &DamageError{Path: path, Offset: 0, Reason: err.Error()}
+	if err := proto.Unmarshal(payload.data, out); err != nil {
+		return &DamageError{Path: path, Offset: 0, Reason: err.Error()}
+	}
+	return nil
+}
+
+func (s *Storer) readIdentity() (*wire.Identity, error) {
+	identity := &wire.Identity{}
+	err := readMessage(filepath.Join(s.Folder, identityFile), identity)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
 	}
 	return identity, nil
 }
@@ -44,18 +52,9 @@
 	if err != nil || len(names) == 0 {
 		return nil, err
 	}
-	path := filepath.Join(s.Folder, names[len(names)-1])
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, &FileError{Action: "read", Path: path, Cause: err}
-	}
-	record, _, err := decodeRecord(data)
-	if err != nil {
-		return nil, &DamageError{Path: path, Offset: 0, Reason: err.Error()}
-	}
 	snapshot := &wire.Snapshot{}
-	if err := proto.Unmarshal(record.data, snapshot); err != nil {
-		return nil, &DamageError{Path: path, Offset: 0, Reason: err.Error()}
+	if err := readMessage(filepath.Join(s.Folder, names[len(names)-1]), snapshot); err != nil {
+		return nil, err
 	}
 	return snapshot, nil
 }
