--- a/controller/internal/server/server.go
+++ b/controller/internal/server/server.go
@@ -13,6 +13,7 @@
 
 	"chervilrail.example/controller/internal/consenter"
 	"chervilrail.example/core/cataloguer"
+	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/granter"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/core/wire/wireconnect"
@@ -20,11 +21,9 @@
 
 const (
 	// maxMessage bounds one message between processes; a snapshot of a full ledger must fit.
-	maxMessage = 128 << 20
-	// compressFrom is the smallest message worth the time of compressing it; heartbeats are smaller.
-	compressFrom = 4 << 10
-	callTimeout  = 5 * time.Second
-	maxID        = 128
+	maxMessage  = 128 << 20
+	callTimeout = 5 * time.Second
+	maxID       = 128
 )
 
 // Mind is what the handlers need of the control service.
@@ -68,7 +67,7 @@
 	mux := http.NewServeMux()
 	options := connect.WithHandlerOptions(
 		connect.WithReadMaxBytes(maxMessage),
-		connect.WithCompressMinBytes(compressFrom),
+		connect.WithCompressMinBytes(dialer.CompressFrom),
 	)
 	mux.Handle(wireconnect.NewReplicasHandler(s, options))
 	mux.Handle(wireconnect.NewControlHandler(s, options))
--- a/core/dealer/dealer.go
+++ b/core/dealer/dealer.go
@@ -22,6 +22,34 @@
 	Region string
 }
 
+// Partners are the entry instances that share targets, sorted once for any number of them.
+type Partners struct {
+	all      []string
+	byRegion map[string][]string
+}
+
+// NewPartners lists the instances that take part.
+func NewPartners(instances []Instance) *Partners {
+	p := &Partners{byRegion: map[string][]string{}}
+	for _, in := range instances {
+		p.all = append(p.all, in.Name)
+		p.byRegion[in.Region] = append(p.byRegion[in.Region], in.Name)
+	}
+	sort.Strings(p.all)
+	for _, names := range p.byRegion {
+		sort.Strings(names)
+	}
+	return p
+}
+
+// near returns the sorted names of those who share a region's slots.
+func (p *Partners) near(region string) []string {
+	if names := p.byRegion[region]; len(names) > 0 {
+		return names
+	}
+	return p.all
+}
+
 // slot is one place at one target.
 type slot struct {
 	target int
@@ -31,7 +59,7 @@
 // Deal returns how many slots of each target belong to the instance, in the order of targets. The
 // slots of a region go to the instances there, or to all where the region has none. Where there are
 // fewer slots than instances, several share one.
-func Deal(self string, instances []Instance, targets []Target) []int32 {
+func Deal(self string, partners *Partners, targets []Target) []int32 {
 	out := make([]int32, len(targets))
 	byRegion := map[string][]slot{}
 	for i, u := range targets {
@@ -40,48 +68,42 @@
 		}
 	}
 	for region, slots := range byRegion {
-		deal(self, partners(instances, region), slots, out)
+		deal(self, partners.near(region), slots, out)
 	}
 	return out
 }
 
 // Holder returns the instance that alone sends to a target, of those in its region if there are any.
-func Holder(target string, instances []Instance, region string) string {
-	return First(target, partners(instances, region))
+func Holder(target string, partners *Partners, region string) string {
+	return First(target, partners.near(region))
 }
 
 // First returns the name with the greatest rendezvous weight for a key, or nothing where there are none.
 func First(key string, names []string) string {
 	best, most := "", uint64(0)
 	for _, name := range names {
-		if h := hashOf(key+"/"+name, 0); best == "" || h > most {
+		if h := Weight(key, name); best == "" || h > most {
 			best, most = name, h
 		}
 	}
 	return best
 }
 
-func hashOf(name string, n int32) uint64 {
+// Weight is the rendezvous weight of a name for a key.
+func Weight(key, name string) uint64 {
 	var d xxhash.Digest
-	d.ResetWithSeed(uint64(n))
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("/")
 	_, _ = d.WriteString(name)
 	return d.Sum64()
 }
 
-// partners returns the sorted names of those who share a region's slots.
-func partners(instances []Instance, region string) []string {
-	var near, all []string
-	for _, in := range instances {
-		all = append(all, in.Name)
-		if in.Region == region {
-			near = append(near, in.Name)
-		}
-	}
-	if len(near) == 0 {
-		near = all
-	}
-	sort.Strings(near)
-	return near
+func hashOf(name string, n int32) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(n))
+	_, _ = d.WriteString(name)
+	return d.Sum64()
 }
 
 // deal goes round the partners with the slots in an order that mixes the targets, so that each partner
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -24,7 +24,11 @@
 		p.differAt = now
 	}
 	out := &wire.ExchangeRequest{From: g.Self, Run: g.Run, Counter: g.counter, Digest: g.digest, Region: g.Region}
-	out.Records = g.changed(now, func(m *mark) bool { return whole || m.home && m.changed > p.acked })
+	if whole {
+		out.Records = g.changed(now, 0, func(*mark) bool { return true })
+	} else {
+		out.Records = g.changed(now, p.acked, func(m *mark) bool { return m.home })
+	}
 	out.Seen = g.nodes.own(now)
 	for _, l := range g.losses {
 		if l.home && l.counter > p.acked {
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -7,7 +7,6 @@
 package gossiper
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -43,6 +42,7 @@
 
 	targets registrar.Registrar
 	marks   map[string]*mark
+	trail   trail
 	nodes   nodes
 	peers   map[string]*peer
 	losses  []*loss
@@ -146,6 +146,7 @@
 	g.counter++
 	m := g.mark(name)
 	m.changed = g.counter
+	g.trail.add(g.counter, name, g.Changed)
 	if g.left(name) {
 		g.hosts.forget(name)
 	}
@@ -176,8 +177,7 @@
 	g.counter = g.nodes.tick(now, g.counter)
 	g.losses = slices.DeleteFunc(g.losses, func(l *loss) bool { return !now.Before(l.until) })
 	heard, quiet := 0, []string{}
-	for _, name := range slices.Sorted(maps.Keys(g.marks)) {
-		m := g.marks[name]
+	for name, m := range g.marks {
 		record, _ := g.targets.Get(name)
 		if !m.home || record.GetSilent() || record.GetState() != wire.TargetState_TARGET_READY {
 			continue
@@ -191,6 +191,7 @@
 	if heard <= len(quiet) {
 		return
 	}
+	slices.Sort(quiet)
 	for _, name := range quiet {
 		record, _ := g.targets.Get(name)
 		silent := proto.CloneOf(record)
@@ -217,7 +218,7 @@
 
 // Since returns what a watcher lacks that has seen everything up to a counter.
 func (g *Gossiper) Since(now time.Time, counter uint64) *News {
-	out := &News{Records: g.changed(now, func(m *mark) bool { return m.changed > counter })}
+	out := &News{Records: g.changed(now, counter, func(*mark) bool { return true })}
 	for _, l := range g.losses {
 		if l.counter > counter {
 			out.Losses = append(out.Losses, l.report)
@@ -227,9 +228,10 @@
 	return out
 }
 
-func (g *Gossiper) changed(now time.Time, wanted func(m *mark) bool) []*wire.Record {
+// changed returns the wanted records that changed after a count, oldest change first.
+func (g *Gossiper) changed(now time.Time, counter uint64, wanted func(m *mark) bool) []*wire.Record {
 	var out []*wire.Record
-	for _, name := range slices.Sorted(maps.Keys(g.marks)) {
+	for _, name := range g.trail.since(counter, g.Changed) {
 		m := g.marks[name]
 		record, ok := g.targets.Get(name)
 		if !ok || !wanted(m) {
--- a/core/gossiper/nodes.go
+++ b/core/gossiper/nodes.go
@@ -38,6 +38,8 @@
 type nodes struct {
 	seen map[string]*sighting
 	gone []gone
+	// trail lists the changes of those in seen.
+	trail trail
 	// forgotten is the count of the newest change that is no longer in gone.
 	forgotten uint64
 }
@@ -58,7 +60,16 @@
 		return counter
 	}
 	next.changed = counter + 1
-	return counter + 1
+	n.trail.add(next.changed, node.GetName(), n.last)
+	return next.changed
+}
+
+// last tells the count at which an instance that is heard changed last, zero for others.
+func (n *nodes) last(name string) uint64 {
+	if s, ok := n.seen[name]; ok {
+		return s.changed
+	}
+	return 0
 }
 
 // tick drops what was not heard for long, and returns the count of changes.
@@ -100,10 +111,8 @@
 			out = append(out, &wire.Seen{Node: &wire.Node{Name: g.name, Lost: true}})
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(n.seen)) {
-		if s := n.seen[name]; s.changed > counter {
-			out = append(out, &wire.Seen{Node: s.node})
-		}
+	for _, name := range n.trail.since(counter, n.last) {
+		out = append(out, &wire.Seen{Node: n.seen[name].node})
 	}
 	return out, false
 }
@@ -111,8 +120,8 @@
 // own returns the instances that call here.
 func (n *nodes) own(now time.Time) []*wire.Seen {
 	var out []*wire.Seen
-	for _, name := range slices.Sorted(maps.Keys(n.seen)) {
-		if s := n.seen[name]; s.home {
+	for _, s := range n.seen {
+		if s.home {
 			out = append(out, &wire.Seen{Node: s.node, Age: int64(now.Sub(s.heardAt))})
 		}
 	}
--- a/core/placer/choice.go
+++ b/core/placer/choice.go
@@ -28,6 +28,7 @@
 	target := p.choose(now, t)
 	if target != nil {
 		target.start(now)
+		p.load.since++
 		p.follow(now)
 		p.spread.sent(target.Region)
 		host := p.byName[t.Host]
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -102,7 +102,8 @@
 	gap      time.Duration
 	gapAt    time.Time
 	placedAt time.Time
-	// share is how many slots there are for each entry instance.
+	// slots is how many there are, share how many for each entry instance.
+	slots float64
 	share float64
 	// urgent is the most urgent priority seen since the control state last changed.
 	urgent int32
@@ -118,14 +119,26 @@
 // load is what holds for all targets at one moment, worked out once for all decisions of that moment.
 type load struct {
 	crowd float64
-	// scarce: free slots are few.
+	// scarce: free slots are few. It was worked out at a time, and so many requests were placed or ended since.
 	scarce bool
+	at     time.Time
+	since  float64
 }
 
+const (
+	// fullHold is how long it holds which part of the slots is taken: that needs a walk over all targets.
+	fullHold = 10 * time.Millisecond
+	// fullParts: it holds no longer than for requests that take or leave a fiftieth of the slots.
+	fullParts = 50
+)
+
 // look takes the load of this moment.
 func (p *Placer) look(now time.Time) {
 	p.load.crowd = p.crowd.expected(now)
-	p.load.scarce = p.full(now) > scarceFrom
+	if now.Sub(p.load.at) < fullHold && p.load.since < p.slots/fullParts {
+		return
+	}
+	p.load.scarce, p.load.at, p.load.since = p.full(now) > scarceFrom, now, 0
 }
 
 // Update follows the control state; entries is how many entry instances share the targets. Targets that stay keep
@@ -166,7 +179,8 @@
 	p.assigner.drop(p.targets)
 	p.assigner.parts = firstShares(p.Region, regions)
 	p.urgent = math.MaxInt32
-	p.share = slots / float64(max(1, entries))
+	p.slots, p.share = slots, slots/float64(max(1, entries))
+	p.load.at = time.Time{}
 	p.spread.follow(p.Region, regions)
 	p.spread.entries = float64(entries) / float64(max(1, len(regions)))
 	if changed {
@@ -202,6 +216,7 @@
 // Done ends a request at a target and returns what is decided in turn.
 func (p *Placer) Done(now time.Time, t *Target, o Outcome) []Placed {
 	t.end(now, o)
+	p.load.since++
 	if o.Load != nil {
 		p.crowd.see(now, t)
 		p.spread.see(now, t, o.Load)
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -187,7 +187,7 @@
 	}
 	for _, e := range r.entries {
 		specs := slices.Clone(r.specs)
-		for i, own := range dealer.Deal(e.name, instances, targets) {
+		for i, own := range dealer.Deal(e.name, dealer.NewPartners(instances), targets) {
 			specs[i].Own = own
 		}
 		e.placer.Update(r.now.Add(-time.Minute), specs, len(r.entries))
--- a/entry/internal/directory/view.go
+++ b/entry/internal/directory/view.go
@@ -85,7 +85,7 @@
 	for _, u := range members {
 		slots = append(slots, dealer.Target{Name: u.Name, Region: u.Region, Slots: u.Slots})
 	}
-	for i, n := range dealer.Deal(d.Instance, partners, slots) {
+	for i, n := range dealer.Deal(d.Instance, dealer.NewPartners(partners), slots) {
 		members[i].SetOwn(n)
 	}
 }
--- a/entry/internal/locator/locator.go
+++ b/entry/internal/locator/locator.go
@@ -85,20 +85,18 @@
 
 // owner returns the instance that answers for an object.
 func (l *Locator) owner(now time.Time, peers []Peer, object string) Peer {
-	names := make([]string, 0, len(peers))
-	byName := map[string]Peer{}
+	best, most := Peer{Name: l.Self}, uint64(0)
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, p := range peers {
-		if p.Name == l.Self || !now.Before(l.shunned[p.Name]) {
-			names = append(names, p.Name)
-			byName[p.Name] = p
+		if p.Name != l.Self && now.Before(l.shunned[p.Name]) {
+			continue
+		}
+		if w := dealer.Weight(object, p.Name); w > most {
+			best, most = p, w
 		}
 	}
-	l.mu.Unlock()
-	if len(names) == 0 {
-		return Peer{Name: l.Self}
-	}
-	return byName[dealer.First(object, names)]
+	return best
 }
 
 // Locate says where a request for an object goes. An instance that does not answer is left out for a while; the one that
@@ -171,6 +169,6 @@
 // Handler serves the questions of other instances.
 func (l *Locator) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewPlacementHandler(l))
+	mux.Handle(wireconnect.NewPlacementHandler(l, connect.WithCompressMinBytes(dialer.CompressFrom)))
 	return mux
 }
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -34,9 +34,7 @@
 	s.run, s.counter = r.GetRun(), r.GetCounter()
 	w.takeControllers(r)
 	stale := w.takeRouting(now, r)
-	for _, record := range r.GetRecords() {
-		stale = w.takeRecord(now, record) || stale
-	}
+	stale = w.takeRecords(now, r.GetRecords()) || stale
 	stale = w.takeNodes(r) || stale
 	stale = w.warmUp(now) || stale
 	if len(r.GetLosses()) > 0 {
@@ -133,6 +131,34 @@
 	}
 }
 
+// maxSingle is how many targets of one answer get a log line each. A whole picture would else be a line for each target
+// at each entry instance; the controllers log every target that announces itself or leaves.
+const maxSingle = 8
+
+// takeRecords follows the targets, and reports whether any of them changed.
+func (w *Watcher) takeRecords(now time.Time, records []*wire.Record) bool {
+	taken, ready := 0, 0
+	for _, r := range records {
+		if !w.takeRecord(now, r) {
+			continue
+		}
+		taken++
+		if r.GetState() == wire.TargetState_TARGET_READY && !r.GetSilent() {
+			ready++
+		}
+		if len(records) <= maxSingle {
+			_ = level.Info(w.Logger).Log("msg", "target", "target", r.GetName(), "incarnation", r.GetIncarnation(),
+				"sequence", r.GetSequence(), "service", r.GetService(), "zone", r.GetZone(), "state", r.GetState(),
+				"silent", r.GetSilent(), "cold", time.Duration(r.GetCold()))
+		}
+	}
+	if len(records) > maxSingle {
+		_ = level.Info(w.Logger).Log("msg", "targets", "taken", taken, "ready", ready, "gone", taken-ready,
+			"controller", w.state.at, "counter", w.state.counter)
+	}
+	return taken > 0
+}
+
 func (w *Watcher) takeRecord(now time.Time, r *wire.Record) bool {
 	if !w.state.targets.Merge(now, r) {
 		return false
@@ -140,9 +166,6 @@
 	if end := now.Add(time.Duration(r.GetCold())); r.GetCold() > 0 && end.After(w.state.cold[r.GetName()]) {
 		w.state.cold[r.GetName()] = end
 	}
-	_ = level.Info(w.Logger).Log("msg", "target", "target", r.GetName(), "incarnation", r.GetIncarnation(),
-		"sequence", r.GetSequence(), "service", r.GetService(), "zone", r.GetZone(), "state", r.GetState(),
-		"silent", r.GetSilent(), "cold", time.Duration(r.GetCold()))
 	return true
 }
 
@@ -167,8 +190,9 @@
 		})
 	}
 	v.Peers = w.peers()
+	partners := w.partners()
 	for name := range v.Targets {
-		w.deal(now, v.Targets[name])
+		w.deal(now, v.Targets[name], partners)
 	}
 	w.view.Store(v)
 	w.Changed(v)
@@ -208,14 +232,19 @@
 	return min(s.GetRate(), (s.GetRate()*coldOver+coldSpare)/2)
 }
 
-// deal gives each slot to one entry instance, and each cold target whole to one.
-func (w *Watcher) deal(now time.Time, specs []placer.Spec) {
-	partners := []dealer.Instance{{Name: w.Node.GetName(), Region: w.Node.GetRegion()}}
+// partners lists the entry instances that share the targets.
+func (w *Watcher) partners() *dealer.Partners {
+	out := []dealer.Instance{{Name: w.Node.GetName(), Region: w.Node.GetRegion()}}
 	for _, n := range w.state.nodes {
 		if n.GetName() != w.Node.GetName() && !n.GetLeaving() {
-			partners = append(partners, dealer.Instance{Name: n.GetName(), Region: n.GetRegion()})
+			out = append(out, dealer.Instance{Name: n.GetName(), Region: n.GetRegion()})
 		}
 	}
+	return dealer.NewPartners(out)
+}
+
+// deal gives each slot to one entry instance, and each cold target whole to one.
+func (w *Watcher) deal(now time.Time, specs []placer.Spec, partners *dealer.Partners) {
 	slots := make([]dealer.Target, 0, len(specs))
 	for _, s := range specs {
 		slots = append(slots, dealer.Target{Name: s.Name, Region: s.Region, Slots: s.Slots})
--- a/standin/internal/experimenter/policies.go
+++ b/standin/internal/experimenter/policies.go
@@ -108,7 +108,7 @@
 		known = append(known, dealer.Target{Name: strconv.Itoa(i), Region: "r", Slots: int32(w.Slots)})
 		tier.Targets = append(tier.Targets, u)
 	}
-	for i, n := range dealer.Deal(in.name, w.partners(), known) {
+	for i, n := range dealer.Deal(in.name, dealer.NewPartners(w.partners()), known) {
 		tier.Targets[i].SetOwn(n)
 	}
 	in.pool = &balancer.Pool{Tiers: []balancer.Tier{tier}}
