--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -53,6 +53,9 @@
 	peers  map[string]*link
 	// wasLinked is what watchers were last told.
 	wasLinked bool
+	// hostsTold is the count of hosts that watchers were last woken for; hostsSoon: they will be in a while.
+	hostsTold uint64
+	hostsSoon bool
 
 	client *http.Client
 	ctx    context.Context
@@ -157,6 +160,7 @@
 	defer x.mu.Unlock()
 	before := x.gossip.Counter()
 	change(time.Now())
+	x.noticeHosts()
 	if x.gossip.Counter() == before {
 		return
 	}
--- a/controller/internal/exchanger/hosts.go
+++ b/controller/internal/exchanger/hosts.go
@@ -12,6 +12,24 @@
 // costs a slow run for each object.
 const savePause = time.Second
 
+// gatherHosts is how long changed hosts wait for more before entry instances are told. An old host still has its object
+// warm, so that haste would only cost calls.
+const gatherHosts = 250 * time.Millisecond
+
+// noticeHosts has the watchers told in a while that hosts changed. The caller holds the lock.
+func (x *Exchanger) noticeHosts() {
+	if x.hostsSoon || x.gossip.HostsChanged() == x.hostsTold {
+		return
+	}
+	x.hostsSoon = true
+	time.AfterFunc(gatherHosts, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.hostsSoon, x.hostsTold = false, x.gossip.HostsChanged()
+		x.wake()
+	})
+}
+
 // Shelf keeps the objects' hosts over restarts.
 type Shelf interface {
 	Load() ([]*wire.Host, error)
@@ -49,7 +67,7 @@
 		changed := x.gossip.HostsChanged()
 		var list []*wire.Host
 		if changed != saved {
-			list = x.gossip.Hosts("")
+			list = x.gossip.Hosts("", 0)
 		}
 		x.mu.Unlock()
 		if changed == saved {
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -17,7 +17,10 @@
 func (x *Exchanger) Watch(
 	ctx context.Context, r *connect.Request[wire.WatchRequest],
 ) (*connect.Response[wire.WatchResponse], error) {
-	x.update(func(now time.Time) { x.gossip.See(now, r.Msg.GetNode()) })
+	x.update(func(now time.Time) {
+		x.gossip.See(now, r.Msg.GetNode())
+		x.gossip.Loads(now, r.Msg.GetLoads())
+	})
 	if r.Msg.GetFirst() {
 		if nearer := x.nearer(r.Msg.GetNode().GetRegion()); nearer != nil {
 			return connect.NewResponse(nearer), nil
@@ -53,18 +56,17 @@
 	linked := x.linked(now)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	counter := r.GetCounter()
+	counter, hosted, loaded := r.GetCounter(), r.GetHosted(), r.GetLoaded()
 	if r.GetRun() != x.gossip.Run {
-		counter = 0
+		counter, hosted, loaded = 0, 0, 0
 	}
 	news := x.gossip.Since(now, counter)
 	out := &wire.WatchResponse{
 		Run: x.gossip.Run, Counter: x.gossip.Counter(), Linked: linked, Revision: routing.Revision,
 		Records: news.Records, Seen: news.Seen, Whole: news.Whole, Losses: news.Losses,
 	}
-	if news.Whole {
-		out.Hosts = x.gossip.Hosts(r.GetNode().GetRegion())
-	}
+	out.Hosts, out.Hosted = x.gossip.Hosts(r.GetNode().GetRegion(), hosted), x.gossip.HostsChanged()
+	out.Loads, out.Loaded = x.gossip.LoadsSince(loaded)
 	x.nameControllers(now, r.GetNode().GetRegion(), out)
 	if routing.Revision > r.GetRevision() {
 		out.Evacuated = routing.Evacuated
@@ -72,7 +74,7 @@
 			out.Plan = routing.Plan
 		}
 	}
-	fresh := routing.Revision > r.GetRevision() || !news.Empty()
+	fresh := routing.Revision > r.GetRevision() || !news.Empty() || len(out.Hosts) > 0
 	return out, fresh || !linked && r.GetRun() == x.gossip.Run
 }
 
--- /dev/null
+++ b/core/gauger/gauger_test.go
@@ -0,0 +1,67 @@
+package gauger
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against loads that instances hear rounded to nothing, or of a message cut short that ends the program.
+func TestReadingsSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	in := []Reading{{1, 0}, {2, 0.5}, {3, 1.25}, {4, 100}}
+	out := Decode(Encode(in))
+	is.Equal(len(out), len(in))
+	for i := range in[:3] {
+		is.Equal(out[i].Target, in[i].Target)
+		is.True(math.Abs(out[i].PerSlot-in[i].PerSlot) <= 0.5/levelParts)
+	}
+	is.True(out[3].PerSlot > 7)
+	is.Equal(len(Decode(&wire.Loads{Targets: []uint32{1, 2}, Levels: []byte{32}})), 1)
+	is.Equal(len(Decode(nil)), 0)
+	is.True(Encode(nil) == nil)
+}
+
+// Guards against a target that holds three times its slots and is taken for an average one: two hundred instances each
+// hear of it once in many seconds, and together several times a second.
+func TestManyInstancesKnowABusyTarget(t *testing.T) {
+	is := is.New(t)
+	var here, other Gauge
+	var passed time.Time
+	now := start
+	for i := range 200 {
+		now = now.Add(20 * time.Millisecond)
+		var c Collector
+		c.Add(Reading{Key("busy"), 3})
+		c.Add(Reading{Key(fmt.Sprint("idle", i%50)), 0.25})
+		here.See(now, c.Take(), true)
+		other.See(now, here.Near(passed), false)
+		passed = now
+	}
+	for _, g := range []*Gauge{&here, &other} {
+		known := map[uint32]float64{}
+		for _, r := range g.Since(0) {
+			known[r.Target] = r.PerSlot
+		}
+		is.Equal(len(known), 51)
+		is.True(math.Abs(known[Key("busy")]-3) < 0.1)
+		is.True(math.Abs(known[Key("idle7")]-0.25) < 0.1)
+	}
+	t.Run("only what changed is told", func(t *testing.T) {
+		is := is.New(t)
+		before := here.Counter()
+		here.See(now, []Reading{{Key("idle7"), 4}}, true)
+		news := here.Since(before)
+		is.Equal(len(news), 1)
+		is.Equal(news[0].Target, Key("idle7"))
+		is.Equal(len(here.Since(here.Counter())), 0)
+	})
+	t.Run("bounded", func(t *testing.T) { is.New(t).True(len(here.order) <= 2*len(here.known)+2) })
+}
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/registrar"
 	"chervilrail.example/core/wire"
 )
@@ -47,6 +48,7 @@
 	peers   map[string]*peer
 	losses  []*loss
 	hosts   hosts
+	gauge   gauger.Gauge
 	// counter grows with everything that a watcher should learn.
 	counter uint64
 	// digest sums up the targets' records; equal pictures have equal digests.
@@ -72,11 +74,13 @@
 
 // peer is another controller as seen from here.
 type peer struct {
-	region   string
-	run      uint64
-	acked    uint64
-	hosted   uint64
-	ackedAt  time.Time
+	region  string
+	run     uint64
+	acked   uint64
+	hosted  uint64
+	ackedAt time.Time
+	// loadedAt is when it was last told loads.
+	loadedAt time.Time
 	differs  bool
 	differAt time.Time
 }
--- a/core/gossiper/hosts.go
+++ b/core/gossiper/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 
 	"chervilrail.example/core/wire"
 )
@@ -13,16 +14,12 @@
 // hosts remembers at which target each object is kept warm. It answers the restart of all entry instances at once: they
 // come back without memory while the targets still have their objects warm, and would run each one cold elsewhere.
 type hosts struct {
-	known   map[hosted]*hostMark
+	// known holds them by the names that keyOf gives.
+	known   map[string]*hostMark
+	trail   trail
 	counter uint64
 }
 
-// hosted names an object of a region.
-type hosted struct {
-	object uint64
-	region string
-}
-
 type hostMark struct {
 	host    *wire.Host
 	changed uint64
@@ -30,27 +27,48 @@
 	own bool
 }
 
+// keyOf names an object of a region.
+func keyOf(h *wire.Host) string { return strconv.FormatUint(h.GetObject(), 16) + "/" + h.GetRegion() }
+
 // learn takes hosts; own tells that they came from entry instances or from the disk.
 func (h *hosts) learn(list []*wire.Host, own bool) {
 	if h.known == nil {
-		h.known = map[hosted]*hostMark{}
+		h.known = map[string]*hostMark{}
 	}
 	for _, host := range list {
-		key := hosted{host.GetObject(), host.GetRegion()}
-		if old, ok := h.known[key]; ok && old.host.GetTarget() == host.GetTarget() {
+		key := keyOf(host)
+		if old, ok := h.known[key]; ok && !Supersedes(host, old.host) {
 			continue
 		}
 		h.counter++
 		h.known[key] = &hostMark{host, h.counter, own}
+		h.trail.add(h.counter, key, h.last)
 	}
 	h.shrink()
 }
 
+// Supersedes reports whether a host holds instead of another one of the same object. All who hear of both, in whatever
+// order, have to hold the same one, or they would send the object's requests to two targets for good.
+func Supersedes(next, old *wire.Host) bool {
+	if next.GetVersion() != old.GetVersion() {
+		return next.GetVersion() > old.GetVersion()
+	}
+	return next.GetTarget() < old.GetTarget()
+}
+
+// last tells the count at which a host changed last, zero if it is not known.
+func (h *hosts) last(key string) uint64 {
+	if m, ok := h.known[key]; ok {
+		return m.changed
+	}
+	return 0
+}
+
 func (h *hosts) shrink() {
 	if len(h.known) <= maxHosts {
 		return
 	}
-	oldest := slices.SortedFunc(maps.Keys(h.known), func(a, b hosted) int {
+	oldest := slices.SortedFunc(maps.Keys(h.known), func(a, b string) int {
 		return int(h.known[a].changed) - int(h.known[b].changed)
 	})
 	for _, key := range oldest[:len(oldest)-maxHosts] {
@@ -58,26 +76,21 @@
 	}
 }
 
-// list returns the wanted hosts, oldest change first.
-func (h *hosts) list(wanted func(m *hostMark) bool) []*wire.Host {
-	var marks []*hostMark
-	for _, m := range h.known {
-		if wanted(m) {
-			marks = append(marks, m)
+// since returns the wanted hosts that changed after a count, oldest change first.
+func (h *hosts) since(counter uint64, wanted func(m *hostMark) bool) []*wire.Host {
+	var out []*wire.Host
+	for _, key := range h.trail.since(counter, h.last) {
+		if m := h.known[key]; wanted(m) {
+			out = append(out, m.host)
 		}
 	}
-	slices.SortFunc(marks, func(a, b *hostMark) int { return int(a.changed) - int(b.changed) })
-	out := make([]*wire.Host, 0, len(marks))
-	for _, m := range marks {
-		out = append(out, m.host)
-	}
 	return out
 }
 
 // forget drops the hosts at a target.
 func (h *hosts) forget(target string) {
 	before := len(h.known)
-	maps.DeleteFunc(h.known, func(_ hosted, m *hostMark) bool { return m.host.GetTarget() == target })
+	maps.DeleteFunc(h.known, func(_ string, m *hostMark) bool { return m.host.GetTarget() == target })
 	if len(h.known) < before {
 		h.counter++
 	}
@@ -98,9 +111,9 @@
 	return ok && record.GetState() != wire.TargetState_TARGET_READY
 }
 
-// Hosts returns the hosts that a region's entry instances told, or all for an empty region.
-func (g *Gossiper) Hosts(region string) []*wire.Host {
-	return g.hosts.list(func(m *hostMark) bool { return region == "" || m.host.GetRegion() == region })
+// Hosts returns the hosts of a region that changed after a count, of all regions for an empty one.
+func (g *Gossiper) Hosts(region string, counter uint64) []*wire.Host {
+	return g.hosts.since(counter, func(m *hostMark) bool { return region == "" || m.host.GetRegion() == region })
 }
 
 // HostsChanged counts the changes of hosts so far.
--- a/core/placer/assigner.go
+++ b/core/placer/assigner.go
@@ -5,16 +5,13 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// movePause is the least time between two moves of objects by one instance: each has an object run cold once.
-	movePause = 250 * time.Millisecond
 	// announceTime is in which the targets that are there announce themselves to a system that has just started.
 	announceTime = 2 * time.Second
-	// crossRate is the part of its objects that an instance moves between regions in a second. Two seconds of it and all
-	// of awayPart leave the links between regions what they are planned for.
-	crossRate = 0.02
 	// half an object on top makes the parts of the regions come out even where there are few objects.
 	half = 0.5
 )
@@ -36,10 +33,13 @@
 type Place struct {
 	// Target is empty if none may be used.
 	Target string
+	// Route is what the object is of, Version grows with each move of it.
+	Route   string
+	Version uint64
 	// WarmAt is when the object's first run there is expected to have ended, zero if it is warm or if the asker is to
 	// make that run.
 	WarmAt time.Time
-	// Reason is a single word for logs: known, hint, new, joined, region or awaited.
+	// Reason is a single word for logs: known, hint, new, joined, region, crowded or awaited.
 	Reason string
 	// First is set for the request that makes the object's first run at the target.
 	First bool
@@ -47,115 +47,171 @@
 	Settled bool
 }
 
-// assigner keeps the target of each object for which this instance answers to all of its region. It answers the load in
-// which most targets run objects cold: instances that each choose by what they know of the targets' load disagree about an
-// object, so it runs cold at several targets, one after the other and beside each other, until the slots are full of
-// such runs. One instance that answers for an object starts it cold once, and gives all targets like numbers of objects.
+// assigner keeps the targets of objects: of those for which this instance answers, and, as others tell, of all that the
+// region's instances use. It answers the load in which most targets run objects cold: instances that each choose by what
+// they know of the targets' load disagree about an object, so it runs cold at several targets, one after the other and
+// beside each other, until the slots are full of such runs. One instance that answers for an object starts it cold once;
+// it knows what all have given to a target, so that targets come out even; and the others need not ask again.
 type assigner struct {
-	objects map[string]*assigned
-	// counts are how many objects of each route a target has.
-	counts map[*Target]map[string]int
+	objects map[uint64]*assigned
+	// counts are how many objects of each route a target has, by its name, and all of them under the empty route.
+	counts map[string]map[string]int
+	// owns tells which objects this instance answers for, own are those of them that are known.
+	owns func(object uint64) bool
+	own  map[uint64]*assigned
 	// parts are the parts of the objects that go to each region, by its slots.
 	parts map[string]float64
 	// offset is where this instance begins among equal targets. All instances would else fill the same ones first.
 	offset float64
+	// of is how many instances of the region answer for objects.
+	of int
 	// newest is when the last target became ready for objects.
 	newest time.Time
-	// moveAt is when the next object may move at all.
-	moveAt time.Time
-	// crossAt is when the next object may go to another region.
+	// moveAt is when the next object may move at all, crossAt when the next one may go to another region.
+	moveAt  time.Time
 	crossAt time.Time
+	balancer
 }
 
 // assigned is one object's place.
 type assigned struct {
-	target   *Target
-	route    string
+	target string
+	route  string
+	// version grows with each move; of two places told of, the higher one holds.
+	version  uint64
 	placedAt time.Time
 	warmAt   time.Time
+	// ask is the last question for the object, with an empty name if there was none.
+	ask Ask
 }
 
-// Own tells which objects this instance answers for, as one of so many, the position-th of them. Others are forgotten.
-func (p *Placer) Own(owns func(object string) bool, position, of int) {
+// ObjectOf is what an object is called where its name would be too long.
+func ObjectOf(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Own tells which objects this instance answers for, as one of so many, the position-th of them.
+func (p *Placer) Own(owns func(object uint64) bool, position, of int) {
 	a := &p.assigner
-	a.offset = float64(position) / float64(max(1, of))
-	for object := range a.objects {
-		if !owns(object) {
-			a.forget(object)
+	a.owns = owns
+	a.offset, a.of = float64(position)/float64(max(1, of)), of
+	a.own = map[uint64]*assigned{}
+	for object, found := range a.objects {
+		if owns(object) {
+			a.own[object] = found
 		}
 	}
 }
 
-// Assign says where a request for an object goes.
+// Assign says where a request for an object goes for which this instance answers.
 func (p *Placer) Assign(now time.Time, ask Ask) Place {
 	a := &p.assigner
-	found, ok := a.objects[ask.Object]
-	if !ok || !p.keeps(now, found.target, ask.Regions) {
-		return p.assign(now, ask)
+	object := ObjectOf(ask.Object)
+	found, ok := a.objects[object]
+	if !ok || !p.Holds(now, found.target, ask.Regions) {
+		return p.assign(now, object, ask)
 	}
-	if target, reason := p.better(now, found, ask); target != nil {
-		a.moveAt = now.Add(movePause)
-		return a.put(now, ask, target, reason)
-	}
-	place := Place{Target: found.target.Name, Reason: "known"}
-	if now.Before(found.warmAt) {
-		place.WarmAt = found.warmAt
+	found.ask = ask
+	return found.place(now)
+}
+
+// place is the answer to a request for an object that has its place.
+func (o *assigned) place(now time.Time) Place {
+	place := Place{Target: o.target, Reason: "known"}
+	if now.Before(o.warmAt) {
+		place.WarmAt = o.warmAt
 	}
 	return place
 }
 
-// assign gives an object a target: the one where the asker saw it, else the one with the fewest objects.
-func (p *Placer) assign(now time.Time, ask Ask) Place {
+// Known is an object's place as this instance was told or decided itself, false if it has to be asked for.
+func (p *Placer) Known(now time.Time, object uint64, regions []string) (Place, bool) {
+	found, ok := p.assigner.objects[object]
+	if !ok || !p.Holds(now, found.target, regions) {
+		return Place{}, false
+	}
+	return found.place(now), true
+}
+
+// Learn takes what another instance decided, or what this one did in an earlier run.
+func (p *Placer) Learn(now time.Time, object uint64, target, route string, version uint64) {
 	a := &p.assigner
-	a.forget(ask.Object)
-	if seen, ok := p.byName[ask.Hint]; ok && p.keeps(now, seen, ask.Regions) {
-		place := a.put(now, ask, seen, "hint")
+	if old, ok := a.objects[object]; ok {
+		if version < old.version || version == old.version && target >= old.target {
+			return
+		}
+	}
+	a.set(object, &assigned{target: target, route: route, version: version, placedAt: now})
+}
+
+// assign gives an object a target: the one where the asker saw it, else the one that has most room.
+func (p *Placer) assign(now time.Time, object uint64, ask Ask) Place {
+	a := &p.assigner
+	if old, ok := a.objects[object]; ok && ask.Hint == "" {
+		ask.Hint = old.target
+	}
+	if p.Holds(now, ask.Hint, ask.Regions) {
+		place := a.put(now, object, ask, ask.Hint, "hint")
 		place.First = false
-		a.objects[ask.Object].warmAt = now
+		a.objects[object].warmAt = now
 		return place
 	}
 	if p.awaited(now, ask.Hint) {
 		return Place{Target: ask.Hint, Reason: "awaited"}
 	}
-	target := p.emptiest(p.region(now, ask), now, ask)
+	target := p.emptiest(p.region(now, ask), now, object, ask)
 	if target == nil {
 		return Place{}
 	}
-	return a.put(now, ask, target, "new")
+	return p.give(now, object, ask, target, "new")
 }
 
-func (a *assigner) put(now time.Time, ask Ask, target *Target, reason string) Place {
-	a.forget(ask.Object)
-	if a.objects == nil || len(a.objects) >= maxObjects {
-		a.objects, a.counts = map[string]*assigned{}, map[*Target]map[string]int{}
+// give puts an object at a target that does not have it warm.
+func (p *Placer) give(now time.Time, object uint64, ask Ask, target *Target, reason string) Place {
+	target.expect(now, p.assigner.demand)
+	return p.assigner.put(now, object, ask, target.Name, reason)
+}
+
+func (a *assigner) put(now time.Time, object uint64, ask Ask, target, reason string) Place {
+	next := &assigned{target: target, route: ask.Route, version: 1, placedAt: now, warmAt: now.Add(ask.Cold), ask: ask}
+	if old, ok := a.objects[object]; ok {
+		next.version = old.version + 1
 	}
-	a.objects[ask.Object] = &assigned{target: target, route: ask.Route, placedAt: now, warmAt: now.Add(ask.Cold)}
-	if a.counts[target] == nil {
-		a.counts[target] = map[string]int{}
+	a.set(object, next)
+	return Place{
+		Target: target, Route: ask.Route, Reason: reason, Version: next.version, First: true, Settled: true,
 	}
-	a.counts[target][ask.Route]++
-	return Place{Target: target.Name, Reason: reason, First: true, Settled: true}
 }
 
-func (a *assigner) forget(object string) {
-	if old, ok := a.objects[object]; ok {
-		a.counts[old.target][old.route]--
-		delete(a.objects, object)
+func (a *assigner) set(object uint64, next *assigned) {
+	a.forget(object)
+	if a.objects == nil || len(a.objects) >= maxObjects {
+		a.objects, a.counts, a.own = map[uint64]*assigned{}, map[string]map[string]int{}, map[uint64]*assigned{}
+	}
+	a.objects[object] = next
+	if a.owns != nil && a.owns(object) {
+		a.own[object] = next
+	}
+	if a.counts[next.target] == nil {
+		a.counts[next.target] = map[string]int{}
 	}
+	a.counts[next.target][next.route]++
+	a.counts[next.target][allRoutes]++
 }
 
-// drop forgets the objects of targets that are gone.
-func (a *assigner) drop(targets []*Target) {
-	for object, found := range a.objects {
-		if !slices.Contains(targets, found.target) {
-			a.forget(object)
-		}
+// allRoutes stands for the objects of all routes together.
+const allRoutes = ""
+
+func (a *assigner) forget(object uint64) {
+	old, ok := a.objects[object]
+	if !ok {
+		return
 	}
-	for target := range a.counts {
-		if !slices.Contains(targets, target) {
-			delete(a.counts, target)
-		}
+	a.counts[old.target][old.route]--
+	a.counts[old.target][allRoutes]--
+	if a.counts[old.target][allRoutes] == 0 {
+		delete(a.counts, old.target)
 	}
+	delete(a.objects, object)
+	delete(a.own, object)
 }
 
 // keeps reports whether a target may go on being an object's.
@@ -184,72 +240,67 @@
 	return best
 }
 
+// objectsIn counts the objects of a route in a region for which this instance answers. Each instance evens out its own:
+// by those of all, hundreds of objects that want a place at once would all go to the region that is behind.
 func (p *Placer) objectsIn(region, route string) int {
 	n := 0
-	for target, counts := range p.assigner.counts {
-		if target.Region == region {
-			n += counts[route]
+	for _, found := range p.assigner.own {
+		if target, ok := p.byName[found.target]; ok && target.Region == region && found.route == route {
+			n++
 		}
 	}
 	return n
 }
 
-// emptiest returns the target of a region with the fewest objects of a route for its slots and its pace.
-func (p *Placer) emptiest(region string, now time.Time, ask Ask) *Target {
+const (
+	// loadStep is how finely targets are told apart by their load, in requests per slot. Told apart further, all
+	// instances would give their objects to the same emptiest target at once.
+	loadStep = 0.25
+	// considered is how many instances consider a target at a time, minCandidates how many targets one considers.
+	considered    = 4
+	minCandidates = 6
+	// paceStep is the same for how slow a target is.
+	paceStep = 0.5
+)
+
+// emptiest returns the target with most room for an object, of those of a region that this instance considers: with the
+// least load, and of those the one with the fewest objects of its route for its slots.
+func (p *Placer) emptiest(region string, now time.Time, object uint64, ask Ask) *Target {
 	var best *Target
-	least := math.Inf(1)
-	near := p.hosts.byRegion[region]
-	first := int(p.assigner.offset * float64(len(near)))
-	for i := range near {
-		target := near[(first+i)%len(near)]
+	leastLoad, leastObjects := math.Inf(1), math.Inf(1)
+	for _, target := range p.candidates(region, object) {
 		if !p.keeps(now, target, ask.Regions) {
 			continue
 		}
-		objects := float64(p.assigner.counts[target][ask.Route]) + half
-		if score := objects / max(1, float64(target.Slots)) * target.slowness(now); score < least {
-			best, least = target, score
+		load := math.Floor(target.expected(now)/loadStep) * max(1, math.Floor(target.slowness(now)/paceStep)*paceStep)
+		objects := (float64(p.assigner.counts[target.Name][ask.Route]) + half) / max(1, float64(target.Slots))
+		if load < leastLoad || load == leastLoad && objects < leastObjects {
+			best, leastLoad, leastObjects = target, load, objects
 		}
 	}
 	return best
 }
 
-// better returns the target that an object is to move to now and why, or nil. Objects move only after targets have joined.
-func (p *Placer) better(now time.Time, found *assigned, ask Ask) (*Target, string) {
-	if now.Before(p.assigner.moveAt) || now.Before(found.warmAt) || !found.placedAt.Before(p.assigner.newest) {
-		return nil, ""
-	}
-	if target := p.newcomer(now, found, ask); target != nil {
-		return target, "joined"
-	}
-	return p.roomier(now, found, ask), "region"
-}
-
-// newcomer returns a target that became ready after the object was placed, if the object is of those that fall to it. A new
-// target would else stay empty, for all objects have their place.
-func (p *Placer) newcomer(now time.Time, found *assigned, ask Ask) *Target {
-	near := slices.DeleteFunc(slices.Clone(p.hosts.byRegion[found.target.Region]), func(t *Target) bool {
-		return !p.keeps(now, t, ask.Regions)
-	})
-	if target := first(ask.Object, near); target.readyAt().After(found.placedAt) {
-		return target
-	}
-	return nil
-}
-
-// roomier returns a target in a region that has fewer objects for its part than the object's. A region that had lost all
-// its targets would else stay empty when they are back, for its objects have found places elsewhere.
-func (p *Placer) roomier(now time.Time, found *assigned, ask Ask) *Target {
+// candidates are some targets of a region from a place of this instance's own on, and as many from one of the object's.
+// Of all targets, all instances would choose the same emptiest ones in the half second that news takes, as when a zone is
+// lost and hundreds of objects want a place; few instances consider the same few.
+func (p *Placer) candidates(region string, object uint64) []*Target {
+	near := p.hosts.byRegion[region]
 	a := &p.assigner
-	if now.Before(a.crossAt) {
-		return nil
+	n := max(minCandidates, considered*len(near)/max(1, a.of))
+	own := int(a.offset * float64(len(near)))
+	if n >= len(near) {
+		return slices.Concat(near[own:], near[:own])
+	}
+	out := make([]*Target, 0, 2*n)
+	start := int(object % uint64(len(near)))
+	for i := range n {
+		out = append(out, near[(own+i)%len(near)])
 	}
-	from, to := found.target.Region, p.region(now, ask)
-	if from == to || p.filled(to, ask.Route, 1) > p.filled(from, ask.Route, 0) {
-		a.crossAt = now.Add(movePause)
-		return nil
+	for i := range n {
+		out = append(out, near[(start+i)%len(near)])
 	}
-	a.crossAt = now.Add(time.Duration(float64(time.Second) / (crossRate * float64(len(a.objects)))))
-	return p.emptiest(to, now, ask)
+	return out
 }
 
 // filled is how many objects of a route a region has for its part, with some more.
--- a/core/placer/assigner_test.go
+++ b/core/placer/assigner_test.go
@@ -30,7 +30,7 @@
 func owner(region string, specs []Spec, position, of int) *Placer {
 	p := &Placer{Region: region, Zone: region, Far: 24 * time.Millisecond}
 	p.Update(start.Add(-time.Minute), specs, of)
-	p.Own(func(string) bool { return true }, position, of)
+	p.Own(func(uint64) bool { return true }, position, of)
 	return p
 }
 
@@ -172,8 +172,8 @@
 	p.Update(now, append(specs, joined), 1)
 	is.True(place(now, p, "", 132)[joined.Name] <= 1)
 	for range 60 {
-		now = now.Add(movePause)
-		place(now, p, "", 132)
+		now = now.Add(balanceEvery)
+		p.Balance(now)
 	}
 	n := place(now, p, "", 132)[joined.Name]
 	is.True(n >= 8 && n <= 28) // 132 objects, seven targets
@@ -204,13 +204,13 @@
 	p.Update(now, specs, 1)
 	for range 200 {
 		now = now.Add(10 * time.Millisecond)
-		atHome(now)
+		p.Balance(now)
 	}
 	n := atHome(now)
 	is.True(n >= 3 && n <= 5) // a fiftieth a second, for two seconds
 	for range 8000 {
 		now = now.Add(10 * time.Millisecond)
-		atHome(now)
+		p.Balance(now)
 	}
 	is.True(atHome(now) > 95)
 }
@@ -230,8 +230,8 @@
 	is.Equal(place(now, p, "", objects)[specs[lost].Name], 0)
 	now = now.Add(3 * time.Second)
 	for range 40 {
-		now = now.Add(movePause)
-		place(now, p, "", objects)
+		now = now.Add(balanceEvery)
+		p.Balance(now)
 	}
 	is.True(place(now, p, "", objects)[specs[lost].Name] >= 4) // 60 objects, six targets
 }
--- /dev/null
+++ b/core/placer/balancer_test.go
@@ -0,0 +1,140 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/gauger"
+)
+
+// crowdOne has instances answer for objects that all are at one target, which is told to be overfull while others are not.
+func crowdOne(instances, objects int) (list []*Placer, crowded string) {
+	specs := boards()
+	crowded = "most-0"
+	for i := range instances {
+		p := owner("most", specs, i, instances)
+		for n := range objects {
+			ask := question(fmt.Sprint(i, "/", n))
+			ask.Hint = crowded
+			p.Assign(start, ask)
+		}
+		list = append(list, p)
+	}
+	return list, crowded
+}
+
+// shed lets all instances balance for a time, while the crowded target's load stays as told, and counts what leaves.
+func shed(list []*Placer, crowded string, load float64, span time.Duration) (moved, crossed int) {
+	now := start.Add(settleSpan)
+	for end := now.Add(span); now.Before(end); now = now.Add(balanceEvery) {
+		for _, p := range list {
+			p.Hear(now, []gauger.Reading{{Target: gauger.Key(crowded), PerSlot: load}})
+			for _, m := range p.Balance(now) {
+				moved++
+				if p.byName[m.Target].Region != "most" {
+					crossed++
+				}
+			}
+		}
+	}
+	return moved, crossed
+}
+
+// Guards against requests that wait and are refused at a target with too many objects, for the rest of the day, beside
+// targets that idle.
+func TestOverfullTargetShedsObjects(t *testing.T) {
+	for _, instances := range []int{1, 10} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			is := is.New(t)
+			list, crowded := crowdOne(instances, 60/instances)
+			moved, crossed := shed(list, crowded, 2, shedSpan)
+			t.Log("moved", moved)
+			is.True(moved >= 12 && moved <= 45) // 60 objects, half too many
+			is.Equal(crossed, 0)
+		})
+	}
+}
+
+// Guards against objects that run cold once more for nothing: at a target with room, and at one that all share.
+func TestObjectsStayWhereMovingDoesNotHelp(t *testing.T) {
+	is := is.New(t)
+	list, crowded := crowdOne(1, 30)
+	moved, _ := shed(list, crowded, 0.9, 10*time.Second)
+	is.Equal(moved, 0)
+	t.Run("single", func(t *testing.T) {
+		list, crowded := crowdOne(1, 1)
+		moved, _ := shed(list, crowded, 3, 10*time.Second)
+		is.New(t).Equal(moved, 0)
+	})
+	t.Run("all busy", func(t *testing.T) {
+		list, _ := crowdOne(1, 30)
+		p := list[0]
+		for now := start.Add(settleSpan); now.Before(start.Add(10 * time.Second)); now = now.Add(balanceEvery) {
+			for _, s := range boards() {
+				p.Hear(now, []gauger.Reading{{Target: gauger.Key(s.Name), PerSlot: 2}})
+			}
+			is.New(t).Equal(len(p.Balance(now)), 0)
+		}
+	})
+}
+
+// Guards against a question for every request, and against instances that hold to a place that another one has changed.
+func TestPlacesAreLearned(t *testing.T) {
+	is := is.New(t)
+	p := owner("most", boards(), 0, 2)
+	p.Own(func(uint64) bool { return false }, 0, 2)
+	object := ObjectOf("a")
+	_, known := p.Known(start, object, nil)
+	is.True(!known)
+	p.Learn(start, object, "most-1", "view", 2)
+	p.Learn(start, object, "most-2", "view", 1) // late news
+	place, known := p.Known(start, object, nil)
+	is.True(known)
+	is.Equal(place.Target, "most-1")
+	_, known = p.Known(start, object, []string{"few"})
+	is.True(!known)
+	p.Learn(start, object, "gone", "view", 3)
+	_, known = p.Known(start, object, nil)
+	is.True(!known)
+	t.Run("by the next one to answer", func(t *testing.T) {
+		is := is.New(t)
+		p.Learn(start, object, "most-3", "view", 7)
+		p.Own(func(uint64) bool { return true }, 0, 1)
+		is.Equal(p.Assign(start, question("a")).Target, "most-3")
+		is.Equal(len(p.assigner.own), 1)
+	})
+	t.Run("and counted", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(p.assigner.counts["most-3"][allRoutes], 1)
+		is.Equal(len(p.assigner.counts), 1)
+	})
+}
+
+// Guards against hundreds of objects that lose their target at once and are all given to the same few: in the half second
+// that news takes, no instance sees what the others choose.
+func TestManyPlaceAtOnceWithoutOneTargetGettingAll(t *testing.T) {
+	is := is.New(t)
+	var specs []Spec
+	for i := range 60 {
+		specs = append(specs, Spec{Name: fmt.Sprintf("t%02d", i), Incarnation: 1, Region: "r", Zone: "z", Slots: 3, Own: 1})
+	}
+	counts := map[string]int{}
+	for i := range 60 {
+		p := owner("r", specs, i, 60)
+		for n := range 180 { // all but a few targets have three objects
+			p.Learn(start, uint64(n), specs[4+n%56].Name, "view", 1)
+		}
+		for n := range 2 {
+			counts[p.Assign(start, question(fmt.Sprint(i, "/", n))).Target]++
+		}
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	t.Log("most", most)
+	is.True(most <= 20) // thirty each if all chose the four emptiest
+}
--- a/core/placer/choice.go
+++ b/core/placer/choice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"chervilrail.example/core/gauger"
 )
 
 const (
@@ -115,9 +117,11 @@
 }
 
 // held estimates how many requests a target holds: this instance's for certain, and those of others. What others had
-// there when it last answered says less the older it is; beyond that the target is taken for an average one.
+// there when it last answered says less the older it is; beyond that the target is taken for an average one. What all
+// instances are told of it is no help here: all would stay away from a target for as long as the news is old, and then all
+// come at once.
 func (p *Placer) held(now time.Time, t *Target) float64 {
-	weight := fade(now.Sub(t.othersAt), p.crowd.life)
+	weight := gauger.Fade(now.Sub(t.othersAt), p.crowd.life)
 	return float64(t.running) + t.others*weight + p.load.crowd*float64(t.Slots)*(1-weight)
 }
 
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -9,8 +9,8 @@
 // can overtake them. Room goes first to requests that can still be answered on time, most urgent first.
 //
 // A file each: choice finds the target of a request, queue orders those that wait, assigner gives objects their hosts, hosts
-// names some by hash for requests whose host is not known, chance says how likely those are warm, overflow finds a place
-// for requests whose host is full, crowd stands in for what is not known of other instances' requests, spread keeps the
+// names some by hash for requests whose host is not known, chance says how likely those are warm, balancer moves
+// objects off targets that have too many, overflow finds a place for requests whose host is full, crowd stands in for what is not known of other instances' requests, spread keeps the
 // parts that go to each region from jumping, target holds what is known of one.
 package placer
 
@@ -21,6 +21,7 @@
 	"sort"
 	"time"
 
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/messenger"
 )
 
@@ -96,6 +97,7 @@
 	met     map[string]bool
 	targets []*Target
 	byName  map[string]*Target
+	byKey   map[uint32]*Target
 	queue   []*Ticket
 	work    time.Duration
 	// gap is the smoothed time between two placements while requests waited, as of gapAt; placedAt is the last one.
@@ -145,7 +147,7 @@
 // what is known of them.
 func (p *Placer) Update(now time.Time, specs []Spec, entries int) {
 	old := p.byName
-	p.byName = map[string]*Target{}
+	p.byName, p.byKey = map[string]*Target{}, map[uint32]*Target{}
 	p.targets = nil
 	slots := 0.0
 	regions := map[string]float64{}
@@ -167,6 +169,7 @@
 			p.assigner.newest = ready
 		}
 		p.byName[s.Name] = t
+		p.byKey[gauger.Key(s.Name)] = t
 		if p.starting(now) {
 			p.met[s.Name] = true
 		}
@@ -176,7 +179,6 @@
 	}
 	slices.SortFunc(p.targets, func(a, b *Target) int { return cmp.Compare(a.Name, b.Name) })
 	p.hosts.reset(p.targets)
-	p.assigner.drop(p.targets)
 	p.assigner.parts = firstShares(p.Region, regions)
 	p.urgent = math.MaxInt32
 	p.slots, p.share = slots, slots/float64(max(1, entries))
@@ -188,6 +190,15 @@
 	}
 }
 
+// Hear takes the loads of targets as all instances of the region saw them.
+func (p *Placer) Hear(now time.Time, loads []gauger.Reading) {
+	for _, r := range loads {
+		if t, ok := p.byKey[r.Target]; ok {
+			t.told, t.toldAt = r.PerSlot, now
+		}
+	}
+}
+
 // Offer places a ticket at once, lets it wait, or refuses it; waiting is reported by false.
 func (p *Placer) Offer(now time.Time, t *Ticket) (Decision, bool) {
 	t.arrived = now
--- a/core/placer/queue.go
+++ b/core/placer/queue.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"chervilrail.example/core/gauger"
+)
 
 const (
 	// holdParts: a request that can't be on time is held for at most a quarter of the time it has left, for its
@@ -68,9 +72,10 @@
 	if host := p.host(now, t); host != nil {
 		slots := float64(max(1, host.Slots))
 		queue := time.Duration(float64(p.usual()) * float64(p.ahead(now, t)+1) / slots)
+		queue += time.Duration(float64(t.Warm) * max(0, p.held(now, host)-slots) / slots)
 		return max(queue, t.WarmAt.Sub(now))
 	}
-	weight := fade(now.Sub(p.gapAt), gapLife)
+	weight := gauger.Fade(now.Sub(p.gapAt), gapLife)
 	even := float64(p.usual()) / max(1, p.share)
 	gap := weight*float64(p.gap) + (1-weight)*even
 	return time.Duration(gap * float64(p.ahead(now, t)+1))
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -7,12 +7,14 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"chervilrail.example/core/dealer"
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/messenger"
 )
 
@@ -32,6 +34,11 @@
 	score map[string]*tally
 	start time.Time
 	span  time.Duration
+	// gauges are the regions' pictures of the targets' loads, told what of them was passed on.
+	gauges map[string]*gauger.Gauge
+	told   map[string]uint64
+	// busy holds the requests per slot of every target, sampled while the load lasts.
+	busy []float64
 	// flows counts requests by two seconds, the region they came from and the region they ran in.
 	flows map[int]map[string]map[string]int
 }
@@ -91,6 +98,8 @@
 	deadline time.Duration
 	priority int32
 	objects  int
+	// skew above 1 has callers ask for the first objects more than for the last ones.
+	skew float64
 }
 
 type tally struct{ asked, onTime, late, refused int }
@@ -125,8 +134,9 @@
 	warm  float64
 	// apart: the callers of each region have objects of their own.
 	apart bool
-	// agreed: one entry instance of a region answers for each object.
+	// agreed: one entry instance of a region answers for each object; deaf: the others hear nothing from it but answers.
 	agreed bool
+	deaf   bool
 }
 
 type event struct {
@@ -153,6 +163,7 @@
 	r := &replay{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), targets: map[string]*worker{},
 		kinds: w.kinds, naive: naive, score: map[string]*tally{}, flows: map[int]map[string]map[string]int{}, world: w,
+		gauges: map[string]*gauger.Gauge{}, told: map[string]uint64{},
 	}
 	r.start = r.now
 	for _, region := range slices.Sorted(maps.Keys(w.targets)) {
@@ -163,12 +174,13 @@
 		}
 	}
 	for _, region := range slices.Sorted(maps.Keys(w.targets)) {
+		r.gauges[region] = &gauger.Gauge{}
 		for i := range w.entries {
 			p := &Placer{Region: region, Zone: region, Far: 2 * farOneWay}
 			r.entries = append(r.entries, &instance{fmt.Sprintf("%s-%d", region, i), region, p})
 		}
 	}
-	r.deal()
+	r.deal(r.now.Add(-time.Minute))
 	for _, k := range w.kinds {
 		r.score[k.name] = &tally{}
 	}
@@ -176,7 +188,7 @@
 }
 
 // deal gives the targets' slots to the entry instances, as the watcher does.
-func (r *replay) deal() {
+func (r *replay) deal(at time.Time) {
 	var instances []dealer.Instance
 	for _, e := range r.entries {
 		instances = append(instances, dealer.Instance{Name: e.name, Region: e.region})
@@ -190,15 +202,19 @@
 		for i, own := range dealer.Deal(e.name, dealer.NewPartners(instances), targets) {
 			specs[i].Own = own
 		}
-		e.placer.Update(r.now.Add(-time.Minute), specs, len(r.entries))
-		at := slices.IndexFunc(r.entries, func(o *instance) bool { return o.region == e.region })
-		e.placer.Own(func(string) bool { return true }, slices.Index(r.entries, e)-at, r.world.entries)
+		e.placer.Update(at, specs, len(r.entries))
+		near := r.near(e.region)
+		owns := func(object uint64) bool { return ownerOf(object, near) == e }
+		e.placer.Own(owns, slices.Index(near, e), r.world.entries)
 	}
 }
 
 func (r *replay) run(span time.Duration, swing float64) {
 	start := r.now
 	r.span = span
+	if r.world.agreed {
+		r.share(start)
+	}
 	for i, e := range r.entries {
 		phase := float64(i/r.world.entries) / 3
 		for _, k := range r.kinds {
@@ -229,7 +245,11 @@
 func (r *replay) offer(e *instance, k kind) {
 	r.score[k.name].asked++
 	arrived := r.now
-	key := fmt.Sprintf("%s/%d", k.name, r.random.IntN(k.objects))
+	object := r.random.IntN(k.objects)
+	if k.skew > 1 {
+		object = int(float64(k.objects) * math.Pow(r.random.Float64(), k.skew))
+	}
+	key := fmt.Sprintf("%s/%d", k.name, object)
 	if r.world.apart {
 		key = e.region + "/" + key
 	}
@@ -254,21 +274,100 @@
 	r.await(e, k, t, done)
 }
 
-// locate asks the entry instance that answers for an object where its request should go.
-func (r *replay) locate(e *instance, k kind, t *Ticket) {
-	var names []string
-	byName := map[string]*instance{}
-	for _, other := range r.entries {
-		if other.region == e.region {
-			names = append(names, other.name)
-			byName[other.name] = other
+// ownerOf returns the entry instance of a region that answers for an object.
+func ownerOf(object uint64, near []*instance) *instance {
+	var best *instance
+	most := uint64(0)
+	for _, e := range near {
+		if w := weight(strconv.FormatUint(object, 16), e.name); w >= most {
+			best, most = e, w
 		}
 	}
-	owner := byName[dealer.First(t.Key, names)].placer
-	place := owner.Assign(r.now, Ask{Object: t.Key, Route: k.name, Cold: t.Cold})
+	return best
+}
+
+func (r *replay) near(region string) []*instance {
+	at := slices.IndexFunc(r.entries, func(o *instance) bool { return o.region == region })
+	return r.entries[at : at+r.world.entries]
+}
+
+// locate finds where a request should go, by asking the instance that answers for the object if need be.
+func (r *replay) locate(e *instance, k kind, t *Ticket) {
+	object := ObjectOf(t.Key)
+	place, ok := e.placer.Known(r.now, object, nil)
+	if !ok {
+		place = ownerOf(object, r.near(e.region)).placer.Assign(r.now, Ask{Object: t.Key, Route: k.name, Cold: t.Cold})
+	}
+	if place.Settled {
+		r.settle(e.region, object, place)
+	}
 	t.Host, t.WarmAt, t.First = place.Target, place.WarmAt, place.First
 }
 
+// settle tells all instances of a region about a place, as the controllers do.
+func (r *replay) settle(region string, object uint64, place Place) {
+	if r.world.deaf {
+		return
+	}
+	r.after(tellDelay, func() {
+		for _, e := range r.near(region) {
+			e.placer.Learn(r.now, object, place.Target, place.Route, place.Version)
+		}
+	})
+}
+
+const (
+	// tellDelay is what news takes from one instance to the others, hearEvery how often loads are told.
+	tellDelay = 500 * time.Millisecond
+	hearEvery = time.Second
+)
+
+// share has instances balance their objects and hear of the targets' loads for as long as the load lasts.
+func (r *replay) share(start time.Time) {
+	if r.now.Sub(start) > r.span {
+		return
+	}
+	if r.now.Sub(start)%hearEvery == 0 {
+		r.sample(start)
+		r.hear()
+	}
+	for _, e := range r.entries {
+		for _, m := range e.placer.Balance(r.now) {
+			r.settle(e.region, m.Object, m.Place)
+		}
+	}
+	r.after(balanceEvery, func() { r.share(start) })
+}
+
+// hear tells the targets' loads.
+func (r *replay) hear() {
+	for region, g := range r.gauges {
+		news := g.Since(r.told[region])
+		r.told[region] = g.Counter()
+		for _, e := range r.near(region) {
+			if !r.world.deaf {
+				e.placer.Hear(r.now, news)
+			}
+		}
+	}
+}
+
+// sample notes how busy the targets are, in the second half.
+func (r *replay) sample(start time.Time) {
+	if r.now.Sub(start) < r.span/2 {
+		return
+	}
+	for _, w := range r.targets {
+		r.busy = append(r.busy, float64(int(w.running)+len(w.waiting))/float64(w.spec.Slots))
+	}
+}
+
+// busiest returns the load that a part of the targets stays below.
+func (r *replay) busiest(part float64) float64 {
+	slices.Sort(r.busy)
+	return r.busy[int(part*float64(len(r.busy)-1))]
+}
+
 // await looks after a waiting ticket as the tick of an entry instance does.
 func (r *replay) await(e *instance, k kind, t *Ticket, done func(Decision)) {
 	r.after(10*time.Millisecond, func() {
@@ -318,6 +417,8 @@
 	finish := func(load messenger.Load, ran bool) {
 		r.after(way, func() {
 			outcome := Outcome{Load: &load, Failed: !ran}
+			held := float64(max(0, load.Running+load.Waiting-1)) / float64(load.Slots)
+			r.gauges[e.region].See(r.now, []gauger.Reading{{Target: gauger.Key(target.Name), PerSlot: held}}, true)
 			if ran {
 				// The time that an entry instance sees holds the wait at the target.
 				outcome.Took = r.now.Sub(sent) - 2*way
@@ -401,8 +502,8 @@
 	return world{
 		targets: map[string]int{"one": 10, "two": 2, "three": 8}, entries: 3, keeps: 42, warm: 0.3,
 		kinds: []kind{
-			{"browse", 179, 240 * time.Millisecond, 250 * time.Millisecond, 1200 * time.Millisecond, 2, 44},
-			{"pay", 99, 312 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond, 1, 24},
+			{"browse", 179, 240 * time.Millisecond, 250 * time.Millisecond, 1200 * time.Millisecond, 2, 44, 1},
+			{"pay", 99, 312 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond, 1, 24, 1},
 		},
 	}
 }
@@ -413,8 +514,8 @@
 	return world{
 		targets: map[string]int{"one": 102, "two": 20, "three": 84}, entries: 27, keeps: 22, warm: 0.25, apart: true,
 		kinds: []kind{
-			{"browse", 1042, 576 * time.Millisecond, 400 * time.Millisecond, 2500 * time.Millisecond, 2, 241},
-			{"pay", 579, 720 * time.Millisecond, 500 * time.Millisecond, 3000 * time.Millisecond, 1, 134},
+			{"browse", 1042, 576 * time.Millisecond, 400 * time.Millisecond, 2500 * time.Millisecond, 2, 241, 1},
+			{"pay", 579, 720 * time.Millisecond, 500 * time.Millisecond, 3000 * time.Millisecond, 1, 134, 1},
 		},
 	}
 }
@@ -492,7 +593,7 @@
 func boardNight() world {
 	return world{
 		targets: map[string]int{"one": 18, "two": 6, "three": 18}, entries: 4, keeps: 13, warm: 0.3, apart: true,
-		kinds: []kind{{"view", 223, 880 * time.Millisecond, 600 * time.Millisecond, 4 * time.Second, 2, 44}},
+		kinds: []kind{{"view", 223, 880 * time.Millisecond, 600 * time.Millisecond, 4 * time.Second, 2, 44, 1}},
 	}
 }
 
@@ -567,3 +668,57 @@
 		})
 	}
 }
+
+// largeNight is a service with sixty entry instances in each region, of which each sees one request of an object in
+// sixty, and targets of three slots. Some objects are asked for more than others. Warm, they ask for a third of the slots.
+func largeNight() world {
+	return world{
+		targets: map[string]int{"one": 80, "two": 80, "three": 80}, entries: 60, keeps: 22, warm: 0.3, apart: true, agreed: true,
+		kinds: []kind{
+			{"browse", 330, 1248 * time.Millisecond, 800 * time.Millisecond, 5 * time.Second, 2, 110, 1.5},
+			{"pay", 185, 1632 * time.Millisecond, time.Second, 6 * time.Second, 1, 60, 1.5},
+		},
+	}
+}
+
+// lose takes a part of every region's targets out for a while.
+func (r *replay) lose(part float64, from, until time.Duration) {
+	all := slices.Clone(r.specs)
+	kept := slices.DeleteFunc(slices.Clone(all), func(s Spec) bool {
+		return float64(weight("lost", s.Name)) < part*math.MaxUint64
+	})
+	r.after(from, func() { r.specs = kept; r.deal(r.now) })
+	r.after(until, func() { r.specs = all; r.deal(r.now) })
+}
+
+// Guards against targets that hold three times their slots for the rest of a day while others idle: no instance sees what
+// the others gave to a target, and once a loss has thrown objects together they never part again.
+func TestLoadComesOutEvenAtSize(t *testing.T) {
+	w := largeNight()
+	for i := range w.kinds {
+		w.kinds[i].rate *= 1.5
+	}
+	play := func(seed uint64, deaf bool) *replay {
+		w.deaf = deaf
+		r := newReplay(seed, false, w)
+		r.lose(0.4, 5*time.Second, 9*time.Second)
+		r.run(30*time.Second, 0.55)
+		return r
+	}
+	for seed := uint64(1); seed <= 2; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			told, deaf := play(seed, false), play(seed, true)
+			t.Logf("load per slot p90 %.2f p99 %.2f, unheard p90 %.2f p99 %.2f, worst shift %.3f", told.busiest(0.9),
+				told.busiest(0.99), deaf.busiest(0.9), deaf.busiest(0.99), told.worstShift())
+			is.True(told.worstShift() < 0.15)
+			for _, k := range w.kinds {
+				a, b := told.score[k.name], deaf.score[k.name]
+				t.Logf("%s: on time %.3f, unheard %.3f; refused %.3f, unheard %.3f", k.name,
+					a.part(a.onTime), b.part(b.onTime), a.part(a.refused), b.part(b.refused))
+				is.True(a.part(a.onTime) > 1.08*b.part(b.onTime))
+				is.True(a.part(a.refused) < b.part(b.refused))
+			}
+		})
+	}
+}
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"chervilrail.example/core/gauger"
 )
 
 const (
@@ -53,6 +55,12 @@
 	// others is how many requests of other instances it held at othersAt.
 	others   float64
 	othersAt time.Time
+	// told is its load in requests per slot, as all instances of the region saw it at toldAt.
+	told   float64
+	toldAt time.Time
+	// coming are the slots that objects need which were placed here lately and may not show in the load yet.
+	coming   float64
+	comingAt time.Time
 	// pace is its service time over the usual one, bad its part of failures, as of opinionAt.
 	pace      float64
 	bad       float64
@@ -66,6 +74,33 @@
 	joinedAt time.Time
 }
 
+const (
+	// toldLife is how long a load holds that is not told again.
+	toldLife = 5 * time.Second
+	// comingLife is the time in which objects that were placed at a target show in the load that is told.
+	comingLife = 2 * time.Second
+)
+
+// heard is the target's load as told lately, false if there is none.
+func (t *Target) heard(now time.Time) (float64, bool) {
+	return t.told, now.Sub(t.toldAt) < toldLife
+}
+
+// expect notes that an object was placed here which needs so many slots.
+func (t *Target) expect(now time.Time, slots float64) {
+	t.coming = t.coming*gauger.Fade(now.Sub(t.comingAt), comingLife) + slots
+	t.comingAt = now
+}
+
+// expected is the load with what was placed here lately. A target that nothing is told of has none.
+func (t *Target) expected(now time.Time) float64 {
+	coming := t.coming * gauger.Fade(now.Sub(t.comingAt), comingLife) / max(1, float64(t.Slots))
+	if load, ok := t.heard(now); ok {
+		return load + coming
+	}
+	return coming
+}
+
 func newTarget() *Target { return &Target{pace: 1} }
 
 // downAfter is how many failures in a row to reach a target show that it is down. One is often a lost connection only, and
@@ -104,16 +139,9 @@
 	return t.sent
 }
 
-// fade is the weight that is left of an observation. It falls like an exponential, and is cheap: each decision needs one
-// for each target.
-func fade(age, span time.Duration) float64 {
-	x := float64(max(0, age)) / float64(max(1, span))
-	return 1 / (1 + x + x*x/2 + x*x*x/6)
-}
-
 // slowness is how many times longer than usual the target is expected to take, failures counted as time lost.
 func (t *Target) slowness(now time.Time) float64 {
-	weight := fade(now.Sub(t.opinionAt), forget)
+	weight := gauger.Fade(now.Sub(t.opinionAt), forget)
 	pace := 1 + (t.pace-1)*weight
 	if now.Before(t.ColdUntil) {
 		pace = max(pace, coldPace)
@@ -159,7 +187,7 @@
 
 // settleOpinion lets the opinion fade to this moment, so that newer outcomes add to what is left of it.
 func (t *Target) settleOpinion(now time.Time) {
-	weight := fade(now.Sub(t.opinionAt), forget)
+	weight := gauger.Fade(now.Sub(t.opinionAt), forget)
 	t.pace = 1 + (t.pace-1)*weight
 	t.bad *= weight
 	t.opinionAt = now
--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -6,10 +6,10 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/messenger"
+	"chervilrail.example/core/placer"
 	"chervilrail.example/entry/internal/pooler"
 )
 
@@ -72,9 +72,11 @@
 	if object == "" {
 		return ""
 	}
-	return strconv.FormatUint(xxhash.Sum64String(object), 36)
+	return hashName(placer.ObjectOf(object))
 }
 
+func hashName(object uint64) string { return strconv.FormatUint(object, 36) }
+
 func (c *Carrier) report(j *job, out result) {
 	took := time.Since(j.started)
 	c.Metrics.ended(j, out, took)
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
@@ -87,17 +88,14 @@
 		return placer.Place{}
 	}
 	started := time.Now()
-	own := c.Locator.Owns(j.view.Peers, object)
-	if place, ok := g.recent(started, object, j.route.GetRegions()); ok && !own {
+	if place, ok := g.known(started, object, j.route.GetRegions()); ok {
 		return place
 	}
 	place := c.Locator.Locate(j.request.Context(), j.view.Peers, j.service, placer.Ask{
 		Object: object, Route: j.route.GetName(), Hint: g.seen(object), Cold: cold, Regions: j.route.GetRegions(),
 	})
 	j.located = time.Since(started)
-	if !own {
-		g.confirm(time.Now(), object, place)
-	}
+	g.confirm(time.Now(), object, place)
 	return place
 }
 
@@ -152,6 +150,7 @@
 	if how == pooler.Answered {
 		outcome.Load = c.Face.Reply(answer.Status, answer.Header).Load
 		j.load = outcome.Load
+		c.observe(t, outcome.Load)
 	}
 	if end == answered {
 		outcome.Took = time.Since(start)
@@ -171,6 +170,15 @@
 	return out, end
 }
 
+// observe passes on what a target reported of its load, without the request that the report came with.
+func (c *Carrier) observe(t *placer.Target, l *messenger.Load) {
+	if l == nil || l.Slots <= 0 {
+		return
+	}
+	held := max(0, l.Running+l.Waiting-1)
+	c.Views.Observe(gauger.Reading{Target: gauger.Key(t.Name), PerSlot: float64(held) / float64(l.Slots)})
+}
+
 // context bounds an attempt. Idempotent work ends when its caller leaves; what must not repeat goes on, for ended
 // halfway it would leave the caller in doubt about a booking that was nearly made.
 func (j *job) context() (context.Context, context.CancelFunc) {
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -10,10 +11,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
@@ -37,6 +38,7 @@
 	View() *watcher.View
 	Report(l *wire.Loss)
 	Settle(h *wire.Host)
+	Observe(r gauger.Reading)
 }
 
 // Sender carries requests to targets.
@@ -50,7 +52,7 @@
 // Locator finds the target that keeps an object warm, with the other entry instances of the region.
 type Locator interface {
 	Locate(ctx context.Context, peers []locator.Peer, service string, ask placer.Ask) placer.Place
-	Owns(peers []locator.Peer, object string) bool
+	Owns(peers []locator.Peer, object uint64) bool
 }
 
 // Carrier is the traffic service. Set the exported fields before Start.
@@ -133,8 +135,9 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		for _, g := range c.allGates() {
+		for service, g := range c.allGates() {
 			g.tick(now)
+			c.balance(now, service, g)
 		}
 		if now.After(sweepAt) {
 			sweepAt = now.Add(sweepEvery)
@@ -144,14 +147,26 @@
 	}
 }
 
-func (c *Carrier) allGates() []*gate {
+// balance tells of the objects that move to other targets.
+func (c *Carrier) balance(now time.Time, service string, g *gate) {
+	for _, m := range g.balance(now) {
+		c.settle(service, m.Object, m.Place)
+	}
+}
+
+// settle makes an object's new place known.
+func (c *Carrier) settle(service string, object uint64, place placer.Place) {
+	c.Views.Settle(&wire.Host{
+		Object: object, Service: service, Target: place.Target, Route: place.Route, Version: place.Version,
+	})
+	_ = level.Info(c.Logger).Log("msg", "object placed", "object", hashName(object), "service", service,
+		"target", place.Target, "reason", place.Reason, "version", place.Version)
+}
+
+func (c *Carrier) allGates() map[string]*gate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]*gate, 0, len(c.gates))
-	for _, g := range c.gates {
-		out = append(out, g)
-	}
-	return out
+	return maps.Clone(c.gates)
 }
 
 // Follow fits every service's gate to a new view.
@@ -169,10 +184,19 @@
 	}
 }
 
-// Remember takes where objects were last kept warm.
+// Remember takes where objects are kept warm.
 func (c *Carrier) Remember(hosts []*wire.Host) {
+	now := time.Now()
 	for _, h := range hosts {
-		c.gate(h.GetService()).remember(h.GetObject(), h.GetTarget())
+		c.gate(h.GetService()).learn(now, h)
+	}
+}
+
+// Hear takes how busy targets are.
+func (c *Carrier) Hear(loads []gauger.Reading) {
+	now := time.Now()
+	for _, g := range c.allGates() {
+		g.hear(now, loads)
 	}
 }
 
@@ -180,11 +204,7 @@
 func (c *Carrier) Assign(now time.Time, service string, ask placer.Ask) placer.Place {
 	place := c.gate(service).assign(now, ask)
 	if place.Settled {
-		c.Views.Settle(&wire.Host{Object: xxhash.Sum64String(ask.Object), Service: service, Target: place.Target})
-	}
-	if place.Reason != "known" {
-		_ = level.Info(c.Logger).Log("msg", "object placed", "object", objectName(ask.Object), "service", service,
-			"target", place.Target, "reason", place.Reason, "hint", ask.Hint)
+		c.settle(service, placer.ObjectOf(ask.Object), place)
 	}
 	return place
 }
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/quarantiner"
@@ -77,9 +78,10 @@
 
 type views struct{ view *watcher.View }
 
-func (v *views) View() *watcher.View { return v.view }
-func (v *views) Report(*wire.Loss)   {}
-func (v *views) Settle(*wire.Host)   {}
+func (v *views) View() *watcher.View    { return v.view }
+func (v *views) Report(*wire.Loss)      {}
+func (v *views) Settle(*wire.Host)      {}
+func (v *views) Observe(gauger.Reading) {}
 
 // alone is the only entry instance of its region; it knows no object.
 type alone struct{}
@@ -87,7 +89,7 @@
 func (alone) Locate(context.Context, []locator.Peer, string, placer.Ask) placer.Place {
 	return placer.Place{}
 }
-func (alone) Owns([]locator.Peer, string) bool { return true }
+func (alone) Owns([]locator.Peer, uint64) bool { return true }
 
 func plan() *wire.Plan {
 	split := []*wire.Split{{Service: "listings", Weight: 1}}
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chervilrail.example/core/budgeter"
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/placer"
+	"chervilrail.example/core/wire"
+	"chervilrail.example/entry/internal/locator"
 	"chervilrail.example/entry/internal/watcher"
 )
 
@@ -22,6 +24,8 @@
 	budget budgeter.Budget
 	// hints are the targets that objects' requests were last sent to.
 	hints map[uint64]hint
+	// peers are the instances of the region that answer for objects, this one among them.
+	peers []locator.Peer
 }
 
 // hint is where an object was last; until confirmed it need not be asked for again.
@@ -44,7 +48,7 @@
 	if object == "" {
 		return
 	}
-	key := xxhash.Sum64String(object)
+	key := placer.ObjectOf(object)
 	if g.hints[key].target != target {
 		g.note(key, hint{target: target})
 	}
@@ -64,34 +68,51 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.note(xxhash.Sum64String(object), hint{place.Target, now.Add(confirmation)})
+	g.note(placer.ObjectOf(object), hint{place.Target, now.Add(confirmation)})
 }
 
-// recent is an object's place where that was confirmed lately and can still be used.
-func (g *gate) recent(now time.Time, object string, regions []string) (placer.Place, bool) {
+// known is an object's place where that needs no question: as decided here, as told by the controllers, or as answered
+// lately.
+func (g *gate) known(now time.Time, object string, regions []string) (placer.Place, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	found := g.hints[xxhash.Sum64String(object)]
+	key := placer.ObjectOf(object)
+	if place, ok := g.place.Known(now, key, regions); ok {
+		return place, true
+	}
+	found := g.hints[key]
 	if !now.Before(found.confirmed) || !g.place.Holds(now, found.target, regions) {
 		return placer.Place{}, false
 	}
 	return placer.Place{Target: found.target, Reason: "recent"}, true
 }
 
-// remember takes an object's host of an earlier run, unless something newer is known.
-func (g *gate) remember(object uint64, target string) {
+// learn takes an object's place as the controllers tell it.
+func (g *gate) learn(now time.Time, h *wire.Host) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, ok := g.hints[object]; !ok {
-		g.note(object, hint{target: target})
-	}
+	g.place.Learn(now, h.GetObject(), h.GetTarget(), h.GetRoute(), h.GetVersion())
+}
+
+// hear takes the loads of targets as the controllers tell them.
+func (g *gate) hear(now time.Time, loads []gauger.Reading) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.place.Hear(now, loads)
+}
+
+// balance returns the objects that move.
+func (g *gate) balance(now time.Time) []placer.Move {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.place.Balance(now)
 }
 
 // seen is where a request for an object was last sent, or empty.
 func (g *gate) seen(object string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.hints[xxhash.Sum64String(object)].target
+	return g.hints[placer.ObjectOf(object)].target
 }
 
 func newGate(region, zone string) *gate {
@@ -102,7 +123,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.place.Update(now, specs, v.Entries)
-	g.place.Own(func(object string) bool { return peers.Owns(v.Peers, object) }, self, len(v.Peers))
+	if g.peers == nil || !slices.Equal(g.peers, v.Peers) {
+		g.peers = v.Peers
+		g.place.Own(func(object uint64) bool { return peers.Owns(v.Peers, object) }, self, len(v.Peers))
+	}
 	announce(g.place.Tick(now))
 }
 
@@ -155,7 +179,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if ask.Hint == "" {
-		ask.Hint = g.hints[xxhash.Sum64String(ask.Object)].target
+		ask.Hint = g.hints[placer.ObjectOf(ask.Object)].target
 	}
 	return g.place.Assign(now, ask)
 }
--- a/entry/internal/cli/routed.go
+++ b/entry/internal/cli/routed.go
@@ -71,7 +71,7 @@
 		Self: settings.Name, Dialer: &dialer.Dialer{Plain: true}, Assigner: p.carrier, Logger: p.logger,
 	}
 	p.carrier.Locator = p.locator
-	p.watcher.Changed, p.watcher.Hosts = p.carrier.Follow, p.carrier.Remember
+	p.watcher.Changed, p.watcher.Hosts, p.watcher.Loads = p.carrier.Follow, p.carrier.Remember, p.carrier.Hear
 	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, serve: settings.Answer, logger: p.logger}
 	return p
 }
--- a/entry/internal/locator/locator.go
+++ b/entry/internal/locator/locator.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -79,20 +80,20 @@
 }
 
 // Owns reports whether this instance answers for an object, of those that are not known to be out of reach.
-func (l *Locator) Owns(peers []Peer, object string) bool {
+func (l *Locator) Owns(peers []Peer, object uint64) bool {
 	return l.owner(time.Now(), peers, object).Name == l.Self
 }
 
 // owner returns the instance that answers for an object.
-func (l *Locator) owner(now time.Time, peers []Peer, object string) Peer {
-	best, most := Peer{Name: l.Self}, uint64(0)
+func (l *Locator) owner(now time.Time, peers []Peer, object uint64) Peer {
+	best, most, key := Peer{Name: l.Self}, uint64(0), strconv.FormatUint(object, 16)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range peers {
 		if p.Name != l.Self && now.Before(l.shunned[p.Name]) {
 			continue
 		}
-		if w := dealer.Weight(object, p.Name); w > most {
+		if w := dealer.Weight(key, p.Name); w > most {
 			best, most = p, w
 		}
 	}
@@ -104,7 +105,7 @@
 func (l *Locator) Locate(ctx context.Context, peers []Peer, service string, ask placer.Ask) placer.Place {
 	for range 2 {
 		now := time.Now()
-		owner := l.owner(now, peers, ask.Object)
+		owner := l.owner(now, peers, placer.ObjectOf(ask.Object))
 		if owner.Name == l.Self {
 			break
 		}
--- a/entry/internal/locator/locator_test.go
+++ b/entry/internal/locator/locator_test.go
@@ -51,7 +51,7 @@
 // objectOf returns an object that an instance answers for.
 func objectOf(l *Locator, peers []Peer, owner string) string {
 	for i := 0; ; i++ {
-		if object := fmt.Sprint(i); l.owner(time.Now(), peers, object).Name == owner {
+		if object := fmt.Sprint(i); l.owner(time.Now(), peers, placer.ObjectOf(object)).Name == owner {
 			return object
 		}
 	}
@@ -70,7 +70,7 @@
 		is.Equal(first.Target, second.Target)
 		is.Equal(first.WarmAt.IsZero(), second.WarmAt.IsZero())
 		is.Equal(first.Target, map[string]string{"a": "t1", "b": "t2"}[owner])
-		is.True(a.Owns(peers, ask.Object) == (owner == "a"))
+		is.True(a.Owns(peers, placer.ObjectOf(ask.Object)) == (owner == "a"))
 	}
 	is.Equal(one.asked[0], one.asked[1])
 	is.Equal(two.asked[0].Regions, []string{"x"})
@@ -93,7 +93,7 @@
 	}
 	is.True(time.Since(start) < shun)
 	is.Equal(b.asked[0].Hint, "t9")
-	is.True(l.Owns(peers, object))
+	is.True(l.Owns(peers, placer.ObjectOf(object)))
 }
 
 // Instances hear of another one before it serves its peers, or have no address of it. The request must not fail for it.
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/dealer"
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/wire"
@@ -31,7 +32,7 @@
 // take puts an answer in force.
 func (w *Watcher) take(now time.Time, r *wire.WatchResponse) {
 	s := &w.state
-	s.run, s.counter = r.GetRun(), r.GetCounter()
+	s.run, s.counter, s.hosted, s.loaded = r.GetRun(), r.GetCounter(), r.GetHosted(), r.GetLoaded()
 	w.takeControllers(r)
 	stale := w.takeRouting(now, r)
 	stale = w.takeRecords(now, r.GetRecords()) || stale
@@ -43,6 +44,9 @@
 	if len(r.GetHosts()) > 0 {
 		w.Hosts(r.GetHosts())
 	}
+	if len(r.GetLoads().GetTargets()) > 0 {
+		w.Loads(gauger.Decode(r.GetLoads()))
+	}
 	if stale && s.plan != nil {
 		w.publish(now)
 	}
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/dialer"
+	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/registrar"
@@ -45,12 +46,16 @@
 	Losses func(reports []*wire.Loss)
 	// Hosts takes where objects were last kept warm.
 	Hosts func(hosts []*wire.Host)
+	// Loads takes how busy targets are, as all instances of the region saw it.
+	Loads func(loads []gauger.Reading)
 	// Changed is called with every new view, by the goroutine that owns the control state.
 	Changed func(v *View)
 
 	view   atomic.Pointer[View]
 	mu     sync.Mutex
 	teller teller
+	// seen is what targets reported here since the last call.
+	seen gauger.Collector
 
 	state  state
 	client *http.Client
@@ -69,6 +74,8 @@
 	asked     bool
 	run       uint64
 	counter   uint64
+	hosted    uint64
+	loaded    uint64
 	revision  uint64
 	plan      *planner.Table
 	evacuated []string
@@ -190,6 +197,7 @@
 	out := &wire.WatchRequest{
 		// Without a plan this instance would refuse every caller that a look-up sends here.
 		Node: w.node(s.plan == nil), Run: s.run, Counter: s.counter, Revision: s.revision, First: !s.asked,
+		Hosted: s.hosted, Loaded: s.loaded, Loads: w.observed(),
 	}
 	if s.plan != nil {
 		out.Version = s.plan.Plan.GetVersion()
@@ -197,6 +205,19 @@
 	return out
 }
 
+// Observe takes a target's report, to be passed on with the next call.
+func (w *Watcher) Observe(r gauger.Reading) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seen.Add(r)
+}
+
+func (w *Watcher) observed() *wire.Loads {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return gauger.Encode(w.seen.Take())
+}
+
 // node describes this instance; blind ones are not named to callers.
 func (w *Watcher) node(blind bool) *wire.Node {
 	return &wire.Node{
@@ -238,7 +259,7 @@
 // turn takes one of the controllers. What it knows is counted anew.
 func (w *Watcher) turn(list []netip.AddrPort) {
 	w.state.at = list[rand.IntN(len(list))]
-	w.state.run, w.state.counter = 0, 0
+	w.state.run, w.state.counter, w.state.hosted, w.state.loaded = 0, 0, 0, 0
 }
 
 // move chooses another controller, a near one if there is any, else of those known and the seeds: all known ones may
