Requests for an overfull target are refused when they come; moves are staggered over the instances

The wait was worked out from an average target's load. And an instance's first move was due at once after any pause, so sixty instances with three objects each moved a third of a region's objects together.

Change: the wait for a host counts what all instances saw there, if that is more; a rate of moves begins at an instance's own place in the round. Loads are told in steps of an eighth.

--- a/core/gauger/gauge.go
+++ b/core/gauger/gauge.go
@@ -9,6 +9,9 @@
 	// span is the time in which an observation loses two thirds of its weight: long enough for a mean of many short
 	// requests, short enough to follow a peak.
 	span = time.Second
+	// least is by how many levels a load has to change to be told before that. Smaller changes say nothing and cost bytes
+	// to each of hundreds of instances.
+	least = 2
 	// repeat is how often a load that does not change is told again. One that is not told for long is taken for unknown.
 	repeat = 2 * time.Second
 	// maxTargets bounds the targets that are remembered, forgetAfter how long.
@@ -74,12 +77,14 @@
 		if near {
 			n.near.add(now, r.PerSlot)
 		}
-		if next := level(n.all.perSlot); next != n.level || now.Sub(n.toldAt) >= repeat {
+		if next := level(n.all.perSlot); apart(next, n.level) >= least || now.Sub(n.toldAt) >= repeat {
 			g.tell(now, r.Target, n, next)
 		}
 	}
 }
 
+func apart(a, b byte) int { return int(max(a, b)) - int(min(a, b)) }
+
 func (g *Gauge) tell(now time.Time, target uint32, n *needle, level byte) {
 	g.counter++
 	n.level, n.changed, n.toldAt = level, g.counter, now
--- a/core/gauger/gauger.go
+++ b/core/gauger/gauger.go
@@ -16,7 +16,7 @@
 
 const (
 	// levelParts is how many levels a request per slot has, maxLevel the highest one.
-	levelParts = 32
+	levelParts = 16
 	maxLevel   = 255
 	// maxCollected bounds the targets of which an instance passes on reports at once.
 	maxCollected = 4096
--- a/core/placer/assigner.go
+++ b/core/placer/assigner.go
@@ -67,7 +67,7 @@
 	of int
 	// newest is when the last target became ready for objects.
 	newest time.Time
-	// moveAt is when the next object may move at all, crossAt when the next one may go to another region.
+	// moveAt is when the next object may follow a joined target, crossAt when the next one may go to another region.
 	moveAt  time.Time
 	crossAt time.Time
 	balancer
--- a/core/placer/balancer.go
+++ b/core/placer/balancer.go
@@ -17,8 +17,6 @@
 	// crossRate is the part of its objects that an instance moves between regions in a second. Two seconds of it and all
 	// of awayPart leave the links between regions what they are planned for.
 	crossRate = 0.02
-	// crossPause is how long an instance that has nothing to move to another region waits before it looks again.
-	crossPause = 250 * time.Millisecond
 	// overfull is the load, in requests per slot, from which on a target sheds objects, and relieved the load at which it
 	// has shed enough.
 	overfull = 1.3
@@ -113,18 +111,24 @@
 	if !found.placedAt.Before(a.newest) {
 		return nil, ""
 	}
-	if !now.Before(a.moveAt) {
-		if target := p.newcomer(now, object, found, from); target != nil {
-			a.moveAt = now.Add(pause(joinRate, len(a.own)))
-			return target, "joined"
-		}
+	if target := p.newcomer(now, object, found, from); target != nil && a.due(now, &a.moveAt, joinRate) {
+		return target, "joined"
 	}
 	return p.roomier(now, object, found, from), "region"
 }
 
-// pause is the time between two moves of so many objects at a rate.
-func pause(rate float64, objects int) time.Duration {
-	return time.Duration(float64(time.Second) / (rate * float64(max(1, objects))))
+// due reports whether one more of the instance's objects may move now, at a rate; next is when the last answer said so. After
+// a pause instances begin one after the other: if each moved one object at once, that could be a third of all objects.
+func (a *assigner) due(now time.Time, next *time.Time, rate float64) bool {
+	every := time.Duration(float64(time.Second) / (rate * float64(max(1, len(a.own)))))
+	if now.Sub(*next) > every {
+		*next = now.Add(time.Duration(a.offset * float64(every)))
+	}
+	if now.Before(*next) {
+		return false
+	}
+	*next = next.Add(every)
+	return true
 }
 
 // roomFor returns a target with much less load for an object of an overfull one, if the object is of those that go. All who
@@ -166,15 +170,13 @@
 // roomier returns a target in a region that has fewer objects for its part than the object's. A region that had lost all
 // its targets would else stay empty when they are back, for its objects have found places elsewhere.
 func (p *Placer) roomier(now time.Time, object uint64, found *assigned, from *Target) *Target {
-	a := &p.assigner
-	if now.Before(a.crossAt) || found.ask.Object == "" {
+	if found.ask.Object == "" {
 		return nil
 	}
-	to := p.region(now, found.ask)
-	if from.Region == to || p.filled(to, found.route, 1) > p.filled(from.Region, found.route, 0) {
-		a.crossAt = now.Add(crossPause)
+	a, to := &p.assigner, p.region(now, found.ask)
+	behind := from.Region != to && p.filled(to, found.route, 1) <= p.filled(from.Region, found.route, 0)
+	if !behind || !a.due(now, &a.crossAt, crossRate) {
 		return nil
 	}
-	a.crossAt = now.Add(pause(crossRate, len(a.own)))
 	return p.emptiest(to, now, object, found.ask)
 }
--- a/core/placer/queue.go
+++ b/core/placer/queue.go
@@ -72,7 +72,7 @@
 	if host := p.host(now, t); host != nil {
 		slots := float64(max(1, host.Slots))
 		queue := time.Duration(float64(p.usual()) * float64(p.ahead(now, t)+1) / slots)
-		queue += time.Duration(float64(t.Warm) * max(0, p.held(now, host)-slots) / slots)
+		queue += time.Duration(float64(t.Warm) * max(0, p.waiting(now, host)) / slots)
 		return max(queue, t.WarmAt.Sub(now))
 	}
 	weight := gauger.Fade(now.Sub(p.gapAt), gapLife)
@@ -81,6 +81,16 @@
 	return time.Duration(gap * float64(p.ahead(now, t)+1))
 }
 
+// waiting estimates how many requests a target holds beyond its slots: by what this instance knows, or by what all saw if
+// that is more. Without that a request for an overfull target would wait here for a room that others always take first.
+func (p *Placer) waiting(now time.Time, host *Target) float64 {
+	held := p.held(now, host)
+	if load, ok := host.heard(now); ok {
+		held = max(held, load*float64(host.Slots))
+	}
+	return held - float64(host.Slots)
+}
+
 // follow notes a placement.
 func (p *Placer) follow(now time.Time) {
 	if len(p.queue) > 0 && !p.placedAt.IsZero() {
