--- a/core/gossiper/hosts.go
+++ b/core/gossiper/hosts.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"chervilrail.example/core/placer"
 	"chervilrail.example/core/wire"
 )
 
@@ -37,7 +38,7 @@
 	}
 	for _, host := range list {
 		key := keyOf(host)
-		if old, ok := h.known[key]; ok && !Supersedes(host, old.host) {
+		if old, ok := h.known[key]; ok && !supersedes(host, old.host) {
 			continue
 		}
 		h.counter++
@@ -47,13 +48,8 @@
 	h.shrink()
 }
 
-// Supersedes reports whether a host holds instead of another one of the same object. All who hear of both, in whatever
-// order, have to hold the same one, or they would send the object's requests to two targets for good.
-func Supersedes(next, old *wire.Host) bool {
-	if next.GetVersion() != old.GetVersion() {
-		return next.GetVersion() > old.GetVersion()
-	}
-	return next.GetTarget() < old.GetTarget()
+func supersedes(next, old *wire.Host) bool {
+	return placer.Supersedes(next.GetVersion(), next.GetTarget(), old.GetVersion(), old.GetTarget())
 }
 
 // last tells the count at which a host changed last, zero if it is not known.
--- a/core/placer/balancer.go
+++ b/core/placer/balancer.go
@@ -61,7 +61,7 @@
 	for _, object := range a.sortedOwn() {
 		found := a.objects[object]
 		from, ok := p.byName[found.target]
-		if !ok || now.Before(found.warmAt) || !p.keeps(now, from, nil) {
+		if !ok || now.Before(found.warmAt) || !p.keeps(now, from, found.ask.Regions) {
 			continue
 		}
 		if target, reason := p.better(now, object, found, from); target != nil {
@@ -117,8 +117,8 @@
 	return p.roomier(now, object, found, from), "region"
 }
 
-// due reports whether one more of the instance's objects may move now, at a rate; next is when the last answer said so. After
-// a pause instances begin one after the other: if each moved one object at once, that could be a third of all objects.
+// due reports whether one more of the instance's objects may move now, at a rate; next is from when on. After a pause
+// instances begin one after the other: if each moved one object at once, that could be a third of all objects.
 func (a *assigner) due(now time.Time, next *time.Time, rate float64) bool {
 	every := time.Duration(float64(time.Second) / (rate * float64(max(1, len(a.own)))))
 	if now.Sub(*next) > every {
--- a/core/placer/balancer_test.go
+++ b/core/placer/balancer_test.go
@@ -138,3 +138,20 @@
 	t.Log("most", most)
 	is.True(most <= 20) // thirty each if all chose the four emptiest
 }
+
+// Guards against an entry instance that ends by itself: a plan takes away the regions that a route's objects are in, and
+// then a target joins.
+func TestObjectsOutsideTheirRegionsAreLeftToTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	specs := boards()
+	p := owner("most", specs, 0, 1)
+	ask := question("a")
+	ask.Hint, ask.Regions = "few-0", []string{"few"}
+	p.Assign(start, ask)
+	p.Learn(start, ObjectOf("a"), "most-1", "view", 9)
+	p.assigner.objects[ObjectOf("a")].ask = ask
+	now := start.Add(10 * time.Second)
+	p.Update(now, append(specs, Spec{Name: "most-9", Incarnation: 1, Region: "most", Slots: 9, Own: 1}), 1)
+	is.Equal(len(p.Balance(now)), 0)
+	is.Equal(p.byName[p.Assign(now, ask).Target].Region, "few")
+}
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -159,6 +159,7 @@
 	c.Views.Settle(&wire.Host{
 		Object: object, Service: service, Target: place.Target, Route: place.Route, Version: place.Version,
 	})
+	c.Metrics.placed.WithLabelValues(service, place.Reason).Inc()
 	_ = level.Info(c.Logger).Log("msg", "object placed", "object", hashName(object), "service", service,
 		"target", place.Target, "reason", place.Reason, "version", place.Version)
 }
--- a/entry/internal/carrier/metrics.go
+++ b/entry/internal/carrier/metrics.go
@@ -7,11 +7,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Metrics counts requests by service, status and reason.
+// Metrics counts requests by service, status and reason, and objects that were placed.
 type Metrics struct {
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	waits    *prometheus.HistogramVec
+	placed   *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -28,8 +29,11 @@
 			Namespace: "chervilrail_entry", Name: "queue_seconds", Help: "Time until a request was placed or refused.",
 			Buckets: buckets,
 		}, []string{"service"}),
+		placed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "chervilrail_entry", Name: "objects_placed_total", Help: "Objects placed or moved by service and reason.",
+		}, []string{"service", "reason"}),
 	}
-	r.MustRegister(m.requests, m.seconds, m.waits)
+	r.MustRegister(m.requests, m.seconds, m.waits, m.placed)
 	return m
 }
 
