A target's report is read in one place; places that are awaited are logged again

Found in reading the change. How a report becomes requests per slot stood in spread and in carrier: messenger.Load.PerSlot serves both. The line for an object whose target is awaited had got lost when placing and telling were joined; docs/OPERATIONS.md names it. One constant's comment stood under another constant. No decision changes.

--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -25,6 +25,15 @@
 	Slots   int32
 }
 
+// PerSlot is the load beside the request that the report came with, in requests per slot; false if there is no report of
+// use.
+func (l *Load) PerSlot() (float64, bool) {
+	if l == nil || l.Slots <= 0 {
+		return 0, false
+	}
+	return float64(max(0, l.Running+l.Waiting-1)) / float64(l.Slots), true
+}
+
 // String writes the load for logs.
 func (l *Load) String() string {
 	if l == nil {
--- a/core/placer/room.go
+++ b/core/placer/room.go
@@ -13,11 +13,11 @@
 	// loadStep is how finely targets are told apart by their load, in requests per slot. Told apart further, all
 	// instances would give their objects to the same emptiest target at once.
 	loadStep = 0.25
+	// paceStep is the same for how slow a target is.
+	paceStep = 0.5
 	// considered is how many instances consider a target at a time, minCandidates how many targets one considers.
 	considered    = 4
 	minCandidates = 6
-	// paceStep is the same for how slow a target is.
-	paceStep = 0.5
 )
 
 // region chooses the region that has the fewest objects of a route for its part.
--- a/core/placer/spread.go
+++ b/core/placer/spread.go
@@ -151,12 +151,12 @@
 	return l.perSlot * gauger.Fade(now.Sub(l.at)-loadHold, loadLife)
 }
 
-// see takes a target's report. It counts the request that it came with, which would make every target look busy.
+// see takes a target's report.
 func (s *spread) see(now time.Time, t *Target, l *messenger.Load) {
-	if s.loads == nil || l.Slots <= 0 {
+	reported, ok := l.PerSlot()
+	if s.loads == nil || !ok {
 		return
 	}
-	reported := float64(max(0, l.Running+l.Waiting-1)) / float64(l.Slots)
 	old := s.load(now, t.Region)
 	s.loads[t.Region] = regionLoad{perSlot: old + (reported-old)/loadParts, at: now}
 }
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -170,13 +170,11 @@
 	return out, end
 }
 
-// observe passes on what a target reported of its load, without the request that the report came with.
+// observe passes on what a target reported of its load.
 func (c *Carrier) observe(t *placer.Target, l *messenger.Load) {
-	if l == nil || l.Slots <= 0 {
-		return
+	if load, ok := l.PerSlot(); ok {
+		c.Views.Observe(gauger.Reading{Target: gauger.Key(t.Name), PerSlot: load})
 	}
-	held := max(0, l.Running+l.Waiting-1)
-	c.Views.Observe(gauger.Reading{Target: gauger.Key(t.Name), PerSlot: float64(held) / float64(l.Slots)})
 }
 
 // context bounds an attempt. Idempotent work ends when its caller leaves; what must not repeat goes on, for ended
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -160,6 +160,10 @@
 		Object: object, Service: service, Target: place.Target, Route: place.Route, Version: place.Version,
 	})
 	c.Metrics.placed.WithLabelValues(service, place.Reason).Inc()
+	c.logPlace(service, object, place)
+}
+
+func (c *Carrier) logPlace(service string, object uint64, place placer.Place) {
 	_ = level.Info(c.Logger).Log("msg", "object placed", "object", hashName(object), "service", service,
 		"target", place.Target, "reason", place.Reason, "version", place.Version)
 }
@@ -203,9 +207,12 @@
 
 // Assign implements locator.Assigner.
 func (c *Carrier) Assign(now time.Time, service string, ask placer.Ask) placer.Place {
-	place := c.gate(service).assign(now, ask)
-	if place.Settled {
-		c.settle(service, placer.ObjectOf(ask.Object), place)
+	place, object := c.gate(service).assign(now, ask), placer.ObjectOf(ask.Object)
+	switch {
+	case place.Settled:
+		c.settle(service, object, place)
+	case place.Reason != "known":
+		c.logPlace(service, object, place)
 	}
 	return place
 }
