Organisations: keys, regions and quotas on the users' platform

Cause: the plan had no place for organisations, so carrier passed keys on, named nobody, let any key in and asked no quota. Ruled out: a fault of the translation alone, for nothing inside knew the type.

Regions of route and organisation meet. Quotas are shared as parts of a number of requests in a sliding window (core/quoter): the leading controller gives parts on demand, a holder gives back only what it has not used in the window, so the sum holds at every moment, whatever is lost, cut off or restarted. Holders are listed through the log, so that a new leader knows whom it has to hear before it gives out more.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -18,6 +18,7 @@
 	"chervilrail.example/controller/internal/config"
 	"chervilrail.example/controller/internal/consenter"
 	"chervilrail.example/controller/internal/courier"
+	"chervilrail.example/controller/internal/divider"
 	"chervilrail.example/controller/internal/exchanger"
 	"chervilrail.example/controller/internal/server"
 	"chervilrail.example/controller/internal/steerer"
@@ -153,6 +154,7 @@
 			Replace:   settings.Replace,
 		},
 		Lease:  settings.Lease,
+		Quotas: settings.Quotas,
 		Sender: carrier,
 		Logger: logs,
 		Fatal:  fatal,
@@ -163,7 +165,10 @@
 	}
 	mind.Changed = exchange.Wake
 	change := &changer.Changer{Mind: mind, Passer: exchange, Logger: logs}
-	handlers := &server.Server{Mind: mind, Token: settings.Token, Exchanger: exchange, Changer: change}
+	divide := &divider.Divider{Mind: mind, Passer: exchange, Logger: logs}
+	handlers := &server.Server{
+		Mind: mind, Token: settings.Token, Exchanger: exchange, Changer: change, Divider: divide,
+	}
 	operator := handlers.Operator()
 	k := &kernel.Kernel{Logger: logs, Patience: settings.Patience, Fatal: fatal}
 	registry.MustRegister(&server.Collector{Summary: mind.Summary})
--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chervilrail.example/core/parser"
+	"chervilrail.example/core/quoter"
 	"chervilrail.example/core/securer"
 )
 
@@ -24,6 +25,11 @@
 	// defaultSeats lets one voter and one more be lost at once; each further pair costs every change two messages.
 	defaultSeats  = 5
 	electionBeats = 3
+	// defaultWindow is the span over which an organisation's requests are counted where no setting says.
+	defaultWindow = 5 * time.Second
+	minWindow     = 100 * time.Millisecond
+	// maxSlack bounds how many requests a quota may be passed by.
+	maxSlack = 1e6
 )
 
 // Config is a controller's checked settings.
@@ -52,6 +58,9 @@
 	Lease     time.Duration
 	Patience  time.Duration
 
+	// Quotas say how exact organisations' quotas have to be.
+	Quotas quoter.Terms
+
 	TokenFile    string
 	Token        string
 	ControlKeys  securer.Files
@@ -124,6 +133,12 @@
 		c.Replace = d.Duration(s, "replace", defaultReplace, minElection, time.Hour)
 		c.Lease = d.Duration(s, "lease", defaultLease, minElection, maxElection)
 		c.Patience = d.Duration(s, "patience", defaultPatience, time.Second, time.Hour)
+	case "quota":
+		c.Quotas = quoter.Terms{
+			Window:  d.Duration(s, "window", defaultWindow, minWindow, time.Minute),
+			Overage: d.Real(s, "overage", 0, 0, 1),
+			Slack:   d.Real(s, "slack", 0, 0, maxSlack),
+		}
 	case "operator":
 		c.TokenFile = d.Optional(s, "token")
 	case "tls":
@@ -132,7 +147,7 @@
 		c.LogFormat = d.Choice(s, "format", "logfmt", "logfmt", "json")
 		c.LogLevel = d.Choice(s, "level", "info", "debug", "info", "warn", "error")
 	default:
-		d.Fault(s, "", "controller, listen, peers, seeds, zones, timing, operator, tls or log", strconv.Quote(s.Kind))
+		d.Fault(s, "", "controller, listen, peers, seeds, zones, timing, quota, operator, tls or log", strconv.Quote(s.Kind))
 	}
 }
 
@@ -228,6 +243,9 @@
 		c.Lease = defaultLease
 		c.Patience = defaultPatience
 	}
+	if c.Quotas.Window == 0 {
+		c.Quotas.Window = defaultWindow
+	}
 	if c.LogFormat == "" {
 		c.LogFormat = "logfmt"
 		c.LogLevel = "info"
--- a/controller/internal/consenter/apply.go
+++ b/controller/internal/consenter/apply.go
@@ -14,6 +14,7 @@
 
 func (c *Consenter) apply(e *wire.Entry) {
 	c.committed = e.GetIndex()
+	c.quotas.applied = e.GetTerm()
 	var result *wire.Result
 	if e.GetKind() == wire.EntryKind_ENTRY_COMMAND {
 		command := &wire.Command{}
@@ -21,6 +22,9 @@
 			result = c.state.Apply(command)
 			c.logChange(command, result)
 			c.noteRouting(command, result)
+			if change := command.GetHolder(); change != nil {
+				c.noteHolder(time.Now(), e.GetTerm(), change)
+			}
 		}
 	}
 	p, ok := c.waiting[e.GetIndex()]
@@ -59,8 +63,10 @@
 		c.grants = granter.Granter{Lease: c.Lease, Since: now}
 		c.grants.SetLimits(c.limits)
 		c.roster.reset(now)
+		c.quotas.lead(c, now)
 		return
 	}
+	c.quotas.allotter = nil
 	c.abandon()
 }
 
--- a/controller/internal/consenter/consenter.go
+++ b/controller/internal/consenter/consenter.go
@@ -16,6 +16,7 @@
 	"chervilrail.example/core/granter"
 	"chervilrail.example/core/keeper"
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/quoter"
 	"chervilrail.example/core/replicator"
 	"chervilrail.example/core/storer"
 	"chervilrail.example/core/wire"
@@ -46,6 +47,8 @@
 	Found  bool
 	Timing replicator.Timing
 	Lease  time.Duration
+	// Quotas say how exact organisations' quotas have to be.
+	Quotas quoter.Terms
 	Sender Sender
 	// Changed is called after the routing state has changed; it must not block.
 	Changed func()
@@ -62,6 +65,7 @@
 	lastRole  replicator.Role
 	number    uint64
 	limits    []cataloguer.Limit
+	quotas    quotas
 
 	events  chan event
 	done    chan struct{}
--- a/controller/internal/consenter/loop.go
+++ b/controller/internal/consenter/loop.go
@@ -66,6 +66,7 @@
 	}
 	c.noticeRole(now)
 	c.noticeCatalogue()
+	c.noticeQuotas(now)
 	c.publishRouting()
 	c.summarise(now)
 	return c.compact()
--- /dev/null
+++ b/controller/internal/consenter/quotas.go
@@ -0,0 +1,144 @@
+package consenter
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"chervilrail.example/core/quoter"
+	"chervilrail.example/core/wire"
+)
+
+const (
+	// quotaLease is how long parts of quotas hold while no controller can be reached. It outlasts a change of leader and most
+	// cuts; what an entry instance held that is lost for good is missing for as long.
+	quotaLease = 20 * time.Second
+	// pruneEvery is how often entry instances are looked for that are gone for good.
+	pruneEvery = time.Second
+)
+
+// quotas are the parts of organisations' quotas while this controller leads.
+type quotas struct {
+	allotter *quoter.Allotter
+	// applied is the term of the last applied entry. Before the first one of its own, a leader may not have applied all that
+	// was listed before.
+	applied uint64
+	plan    *wire.Plan
+	holders []*wire.QuotaHolder
+	// listing holds the entry instances whose listing this leader has proposed, by when.
+	listing map[string]time.Time
+	pruneAt time.Time
+}
+
+// lead begins to allot anew.
+func (q *quotas) lead(c *Consenter, now time.Time) {
+	q.allotter = &quoter.Allotter{
+		Terms: c.Quotas, Term: c.replica.Term(), Since: now, Lease: quotaLease, Distrust: c.Timing.Election,
+	}
+	q.plan, q.holders, q.listing = nil, nil, map[string]time.Time{}
+}
+
+// noticeQuotas follows the replicated state.
+func (c *Consenter) noticeQuotas(now time.Time) {
+	q := &c.quotas
+	if q.allotter == nil {
+		return
+	}
+	if q.allotter.Term != c.replica.Term() {
+		q.lead(c, now)
+	}
+	if plan, holders := c.state.Plan(), c.state.Holders(); plan != q.plan || !slices.Equal(holders, q.holders) {
+		q.plan, q.holders = plan, holders
+		q.allotter.Follow(plan, holders)
+	}
+	if now.Before(q.pruneAt) || !c.leads(now) {
+		return
+	}
+	q.pruneAt = now.Add(pruneEvery)
+	for _, h := range q.allotter.Gone(now) {
+		c.changeHolder(&wire.HolderChange{Holder: h, Gone: true})
+	}
+}
+
+func (c *Consenter) changeHolder(change *wire.HolderChange) {
+	data, err := proto.Marshal(&wire.Command{Holder: change})
+	if err != nil {
+		_ = level.Error(c.Logger).Log("msg", "holder of quotas not listed", "holder", change.GetHolder().GetName(), "err", err)
+		return
+	}
+	if _, _, err = c.replica.Propose(data); err != nil {
+		_ = level.Warn(c.Logger).Log("msg", "holder of quotas not listed", "holder", change.GetHolder().GetName(), "err", err)
+	}
+}
+
+type allotAnswer struct {
+	response *wire.AllotResponse
+	err      error
+}
+
+type allotEvent struct {
+	request *wire.AllotRequest
+	reply   chan allotAnswer
+}
+
+func (e allotEvent) handle(c *Consenter, now time.Time) {
+	response, err := c.allot(now, e.request)
+	e.reply <- allotAnswer{response, err}
+}
+
+func (c *Consenter) allot(now time.Time, r *wire.AllotRequest) (*wire.AllotResponse, error) {
+	q := &c.quotas
+	term := c.replica.Term()
+	if !c.leads(now) || q.allotter == nil || q.allotter.Term != term || q.applied != term {
+		return nil, c.leaderError()
+	}
+	response, err := q.allotter.Allot(now, r)
+	var unlisted *quoter.UnlistedError
+	if errors.As(err, &unlisted) {
+		c.list(now, r.GetHolder())
+	}
+	return response, err
+}
+
+// list proposes an entry instance as a holder, once in a while until it is listed.
+func (c *Consenter) list(now time.Time, h *wire.QuotaHolder) {
+	if h.GetName() == "" || now.Before(c.quotas.listing[h.GetName()].Add(pruneEvery)) {
+		return
+	}
+	c.quotas.listing[h.GetName()] = now
+	c.changeHolder(&wire.HolderChange{Holder: h})
+}
+
+// noteHolder takes up a listing that was applied.
+func (c *Consenter) noteHolder(now time.Time, term uint64, change *wire.HolderChange) {
+	q := &c.quotas
+	if q.allotter == nil {
+		return
+	}
+	c.noticeQuotas(now)
+	if !change.GetGone() && term == c.replica.Term() {
+		q.allotter.New(change.GetHolder())
+	}
+	_ = level.Info(c.Logger).Log("msg", "holder of quotas", "holder", change.GetHolder().GetName(),
+		"incarnation", change.GetHolder().GetIncarnation(), "gone", change.GetGone(), "holders", len(q.holders))
+}
+
+// Allot answers an entry instance that asks for parts of quotas.
+func (c *Consenter) Allot(ctx context.Context, r *wire.AllotRequest) (*wire.AllotResponse, error) {
+	reply := make(chan allotAnswer, 1)
+	if err := c.post(ctx, allotEvent{r, reply}); err != nil {
+		return nil, err
+	}
+	select {
+	case a := <-reply:
+		return a.response, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-c.done:
+		return nil, &StalledError{}
+	}
+}
--- a/controller/internal/consenter/routing.go
+++ b/controller/internal/consenter/routing.go
@@ -5,14 +5,17 @@
 
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/planner"
 	"chervilrail.example/core/wire"
 )
 
 // Routing is the replicated routing state as this controller has applied it. It is immutable.
 type Routing struct {
 	// Revision is the log index that last changed the state; it orders the pictures of all controllers.
-	Revision  uint64
-	Plan      *wire.Plan
+	Revision uint64
+	Plan     *wire.Plan
+	// Sealed is the plan without the organisations' keys.
+	Sealed    *wire.Plan
 	Evacuated []string
 	// Members are the controllers, Leader is the name of the one that leads, or empty.
 	Members []*wire.Member
@@ -77,8 +80,20 @@
 	if old != nil && old.Revision == next.Revision && old.Leader == next.Leader && slices.Equal(old.Members, next.Members) {
 		return
 	}
+	next.Sealed = sealed(old, next.Plan)
 	c.routing.Store(next)
 	if c.Changed != nil {
 		c.Changed()
 	}
 }
+
+// sealed returns a plan without keys, the one made before if the plan is the same.
+func sealed(old *Routing, plan *wire.Plan) *wire.Plan {
+	if old != nil && old.Plan == plan {
+		return old.Sealed
+	}
+	if plan == nil {
+		return nil
+	}
+	return planner.Seal(plan)
+}
--- a/controller/internal/exchanger/exchanger_test.go
+++ b/controller/internal/exchanger/exchanger_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"chervilrail.example/controller/internal/consenter"
 	"chervilrail.example/core/dialer"
+	"chervilrail.example/core/planner"
 	"chervilrail.example/core/wire"
 )
 
@@ -19,7 +22,8 @@
 type mind struct{ voters []string }
 
 func (m mind) Routing() *consenter.Routing {
-	out := &consenter.Routing{Revision: 1, Plan: &wire.Plan{Version: 1}}
+	plan := &wire.Plan{Version: 1, Organisations: []*wire.Organisation{{Name: "acme", Keys: []string{"s3cret"}}}}
+	out := &consenter.Routing{Revision: 1, Plan: plan, Sealed: planner.Seal(plan)}
 	for _, name := range m.voters {
 		out.Members = append(out.Members, &wire.Member{Name: name, Voter: true, Address: "127.0.0.1:1"})
 	}
@@ -55,6 +59,18 @@
 	is.Equal(record.GetState(), wire.TargetState_TARGET_GONE)
 }
 
+// Guards against keys on entry instances, which need only recognise them.
+func TestEntryInstancesGetNoKeys(t *testing.T) {
+	is := is.New(t)
+	x := begin(t, "c1")
+	response, fresh := x.answer(time.Now(), &wire.WatchRequest{})
+	is.True(fresh)
+	data, err := proto.Marshal(response)
+	is.NoErr(err)
+	is.True(strings.Contains(string(data), "acme"))
+	is.True(!strings.Contains(string(data), "s3cret"))
+}
+
 // The same target says which of its runs leaves. That is enough to ward off the delayed announcement.
 func TestLeavingOfAnUnknownTargetThatNamesItsRun(t *testing.T) {
 	is := is.New(t)
--- a/controller/internal/exchanger/submit.go
+++ b/controller/internal/exchanger/submit.go
@@ -12,14 +12,34 @@
 
 // Pass sends a command to the leading controller. After an error the command may or may not have run.
 func (x *Exchanger) Pass(ctx context.Context, command *wire.Command) (*wire.Result, error) {
-	address, err := netip.ParseAddrPort(x.Mind.Routing().LeaderAddress())
+	client, err := x.leader()
 	if err != nil {
-		return nil, &LeaderlessError{}
+		return nil, err
 	}
-	client := wireconnect.NewExchangeClient(x.client, x.Dialer.URL(address))
 	response, err := client.Submit(ctx, connect.NewRequest(&wire.SubmitRequest{Command: command}))
 	if err != nil {
 		return nil, err
 	}
 	return response.Msg.GetResult(), nil
 }
+
+// PassQuota sends a question for parts of quotas to the leading controller.
+func (x *Exchanger) PassQuota(ctx context.Context, r *wire.AllotRequest) (*wire.AllotResponse, error) {
+	client, err := x.leader()
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Allot(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+func (x *Exchanger) leader() (wireconnect.ExchangeClient, error) {
+	address, err := netip.ParseAddrPort(x.Mind.Routing().LeaderAddress())
+	if err != nil {
+		return nil, &LeaderlessError{}
+	}
+	return wireconnect.NewExchangeClient(x.client, x.Dialer.URL(address)), nil
+}
--- a/controller/internal/server/server.go
+++ b/controller/internal/server/server.go
@@ -47,10 +47,16 @@
 	Submit(context.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
 }
 
-// exchange joins both into the service that is called.
+// Divider gives entry instances parts of organisations' quotas.
+type Divider interface {
+	Allot(context.Context, *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error)
+}
+
+// exchange joins them into the service that is called.
 type exchange struct {
 	Exchanger
 	Changer
+	Divider
 }
 
 // Server implements the three services of a controller.
@@ -58,6 +64,7 @@
 	Mind      Mind
 	Exchanger Exchanger
 	Changer   Changer
+	Divider   Divider
 	// Token guards the operators' service; an empty one leaves it open.
 	Token string
 }
@@ -71,7 +78,7 @@
 	)
 	mux.Handle(wireconnect.NewReplicasHandler(s, options))
 	mux.Handle(wireconnect.NewControlHandler(s, options))
-	mux.Handle(wireconnect.NewExchangeHandler(exchange{s.Exchanger, s.Changer}, options))
+	mux.Handle(wireconnect.NewExchangeHandler(exchange{s.Exchanger, s.Changer, s.Divider}, options))
 	return mux
 }
 
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -29,6 +29,7 @@
 	evacuated   []string
 	digests     map[string]bool
 	digestOrder [][]byte
+	holders     []*wire.QuotaHolder
 }
 
 // Number returns the number of the catalogue in force.
@@ -53,6 +54,8 @@
 		return &wire.Result{Plan: k.changePlan(c.GetPlan())}
 	case c.GetEvacuation() != nil:
 		k.evacuate(c.GetEvacuation())
+	case c.GetHolder() != nil:
+		k.changeHolder(c.GetHolder())
 	case c.GetRead():
 		return &wire.Result{Current: k.plan}
 	}
@@ -103,6 +106,7 @@
 		Plan:      k.plan,
 		Digests:   k.digestOrder,
 		Evacuated: k.evacuated,
+		Holders:   k.holders,
 	}
 	for _, id := range k.order {
 		s.Answers = append(s.Answers, &wire.Answer{Id: id, Verdict: k.answers[id]})
@@ -132,5 +136,6 @@
 	}
 	k.Ledger.Restore(s.GetClaims())
 	k.restorePlan(s)
+	k.holders = s.GetHolders()
 	return nil
 }
--- a/core/limiter/window.go
+++ b/core/limiter/window.go
@@ -1,21 +1,23 @@
-// Package limiter counts use over a sliding second and refuses what would pass a limit.
+// Package limiter counts use over a sliding window and refuses what would pass a limit.
 package limiter
 
 import "time"
 
 const (
-	// Span is the window in which use never passes the limit.
+	// Span is the window in which use never passes the limit, where none is set.
 	Span = time.Second
 
-	buckets = 20
+	buckets = 50
 	width   = Span / buckets
 )
 
-// Window counts use. At every instant the use of the last Span is at most the largest limit that Take
+// Window counts use. At every instant the use of its span is at most the largest limit that Take
 // was called with during it: the oldest bucket counts whole until all of it has left the window.
 type Window struct {
 	// Origin is any time before the first use.
 	Origin time.Time
+	// Length is the span if it is not Span; set before the first use.
+	Length time.Duration
 
 	counts [buckets + 1]int64
 	sum    int64
@@ -33,7 +35,20 @@
 	return true
 }
 
-// Used returns the use of the last Span.
+// Return takes back n units that were counted at a time and came to no use.
+func (w *Window) Return(now, at time.Time, n int64) {
+	w.advance(now)
+	bucket := w.bucket(at)
+	if bucket > w.at || bucket <= w.at-int64(len(w.counts)) {
+		return
+	}
+	slot := bucket % int64(len(w.counts))
+	n = min(n, w.counts[slot])
+	w.counts[slot] -= n
+	w.sum -= n
+}
+
+// Used returns the use of the last span.
 func (w *Window) Used(now time.Time) int64 {
 	w.advance(now)
 	return w.sum
@@ -41,11 +56,31 @@
 
 // Next returns when the window may have more room.
 func (w *Window) Next(now time.Time) time.Time {
-	return now.Truncate(width).Add(width)
+	return now.Truncate(w.step()).Add(w.step())
 }
 
+// Free returns when the oldest use leaves the window, now if there is none.
+func (w *Window) Free(now time.Time) time.Time {
+	w.advance(now)
+	for i := w.at - int64(len(w.counts)) + 1; w.sum > 0 && i <= w.at; i++ {
+		if i >= 0 && w.counts[i%int64(len(w.counts))] > 0 {
+			return w.Origin.Add(time.Duration(i+int64(len(w.counts))) * w.step())
+		}
+	}
+	return now
+}
+
+func (w *Window) step() time.Duration {
+	if w.Length == 0 {
+		return width
+	}
+	return w.Length / buckets
+}
+
+func (w *Window) bucket(at time.Time) int64 { return int64(at.Sub(w.Origin) / w.step()) }
+
 func (w *Window) advance(now time.Time) {
-	at := int64(now.Sub(w.Origin) / width)
+	at := w.bucket(now)
 	if at <= w.at {
 		return
 	}
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -16,6 +16,18 @@
 	Deadline time.Time
 	// Key groups requests that concern one object; empty for none.
 	Key string
+	// Secret shows whose request it is; empty for none. It goes to no target and into no log.
+	Secret string
+}
+
+// Addressee is whom a request is passed on to.
+type Addressee struct {
+	// Target is the one that may run it.
+	Target string
+	// Organisation is the caller's, empty if it is not known.
+	Organisation string
+	// Deadline is until when the target may work on it.
+	Deadline time.Time
 }
 
 // Load is a target's own report of its work.
@@ -58,8 +70,8 @@
 type Face interface {
 	// Call reads a caller's request.
 	Call(r *http.Request, now time.Time) (Call, error)
-	// Address writes into a request's header which target it is for, and until when that may work on it.
-	Address(h http.Header, target string, deadline, now time.Time)
+	// Address writes into a request's header whom it is for, and takes out what the target must not see.
+	Address(h http.Header, to Addressee, now time.Time)
 	// Reply reads the head of a target's answer.
 	Reply(status int, h http.Header) Reply
 }
--- a/core/parser/values.go
+++ b/core/parser/values.go
@@ -83,6 +83,23 @@
 	return "a whole number from " + strconv.FormatInt(low, decimal) + " to " + strconv.FormatInt(high, decimal)
 }
 
+// Real reads a number between low and high.
+func (d *Document) Real(s *Section, key string, fallback, low, high float64) float64 {
+	s.read[key] = true
+	text, ok := s.keys[key]
+	if !ok {
+		return fallback
+	}
+	f, err := strconv.ParseFloat(text, wordBits)
+	if err != nil || !(f >= low && f <= high) {
+		d.Fault(s, key, "a number from "+realText(low)+" to "+realText(high), strconv.Quote(text))
+		return fallback
+	}
+	return f
+}
+
+func realText(f float64) string { return strconv.FormatFloat(f, 'g', -1, wordBits) }
+
 // Duration reads a length of time such as 200ms between low and high.
 func (d *Document) Duration(s *Section, key string, fallback, low, high time.Duration) time.Duration {
 	s.read[key] = true
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -37,7 +37,8 @@
 type Ticket struct {
 	// Key names the object concerned, or is empty.
 	Key string
-	// Priority 0 is the most urgent.
+	// Rank is the caller's own priority, which goes before that of what it asks for; 0 is the most urgent of both.
+	Rank     int32
 	Priority int32
 	// Aim is until when an answer is on time, Deadline until when it is of use at all.
 	Aim      time.Time
--- a/core/planner/errors.go
+++ b/core/planner/errors.go
@@ -4,7 +4,7 @@
 
 // PlanError says which item of a routing plan is wrong, and why.
 type PlanError struct {
-	// Item is the name of the route or service, empty for the plan itself.
+	// Item is the name of the route, service or organisation, empty for the plan itself.
 	Item string
 	// Field is the field at fault.
 	Field string
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"chervilrail.example/core/wire"
 )
 
@@ -38,6 +36,9 @@
 			return err
 		}
 	}
+	if err := checkOrganisations(p.GetOrganisations()); err != nil {
+		return err
+	}
 	return checkLimits(p.GetLimits())
 }
 
@@ -89,81 +90,3 @@
 	}
 	return nil
 }
-
-// Apply returns the plan that a change makes of the current one, without checking it.
-func Apply(current *wire.Plan, c *wire.PlanChange) *wire.Plan {
-	if c.GetPatch() == nil {
-		out := proto.CloneOf(c.GetPlan())
-		if out == nil {
-			out = &wire.Plan{}
-		}
-		out.Version = c.GetVersion()
-		return out
-	}
-	patch := c.GetPatch()
-	out := &wire.Plan{Version: c.GetVersion(), Limits: current.GetLimits()}
-	if patch.GetLimits() != nil {
-		out.Limits = patch.GetLimits()
-	}
-	out.Routes = mergeRoutes(current.GetRoutes(), patch)
-	out.Services = mergeServices(current.GetServices(), patch)
-	return out
-}
-
-func mergeRoutes(old []*wire.Route, patch *wire.Patch) []*wire.Route {
-	dropped := set(patch.GetNoroutes())
-	replaced := map[string]*wire.Route{}
-	for _, r := range patch.GetRoutes() {
-		replaced[r.GetName()] = r
-	}
-	var out []*wire.Route
-	for _, r := range old {
-		if newer, ok := replaced[r.GetName()]; ok {
-			out = append(out, newer)
-			delete(replaced, r.GetName())
-			continue
-		}
-		if !dropped[r.GetName()] {
-			out = append(out, r)
-		}
-	}
-	for _, r := range patch.GetRoutes() {
-		if replaced[r.GetName()] == r {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-func mergeServices(old []*wire.Service, patch *wire.Patch) []*wire.Service {
-	dropped := set(patch.GetNoservices())
-	replaced := map[string]*wire.Service{}
-	for _, s := range patch.GetServices() {
-		replaced[s.GetName()] = s
-	}
-	var out []*wire.Service
-	for _, s := range old {
-		if newer, ok := replaced[s.GetName()]; ok {
-			out = append(out, newer)
-			delete(replaced, s.GetName())
-			continue
-		}
-		if !dropped[s.GetName()] {
-			out = append(out, s)
-		}
-	}
-	for _, s := range patch.GetServices() {
-		if replaced[s.GetName()] == s {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-func set(names []string) map[string]bool {
-	out := map[string]bool{}
-	for _, n := range names {
-		out[n] = true
-	}
-	return out
-}
--- a/core/planner/table.go
+++ b/core/planner/table.go
@@ -15,11 +15,12 @@
 
 	hosts    map[string][]*wire.Route
 	services map[string]*wire.Service
+	keys     organisations
 }
 
 // NewTable indexes a checked plan.
 func NewTable(p *wire.Plan) *Table {
-	t := &Table{Plan: p, hosts: map[string][]*wire.Route{}, services: map[string]*wire.Service{}}
+	t := &Table{Plan: p, hosts: map[string][]*wire.Route{}, services: map[string]*wire.Service{}, keys: index(p)}
 	for _, r := range p.GetRoutes() {
 		t.hosts[r.GetHost()] = append(t.hosts[r.GetHost()], r)
 	}
--- /dev/null
+++ b/core/quoter/holder.go
@@ -0,0 +1,294 @@
+package quoter
+
+import (
+	"time"
+
+	"chervilrail.example/core/limiter"
+	"chervilrail.example/core/wire"
+)
+
+const (
+	// spareParts: a holder likes to have a third of what it uses at hand beyond that, and one at least.
+	spareParts = 3
+	// renewEvery is how often parts are renewed without need.
+	renewEvery = time.Second
+	// unknownRetry is after what a caller is asked back whose organisation's quota nobody can tell.
+	unknownRetry = 500 * time.Millisecond
+)
+
+// Outcome is what becomes of a request that wants to count against a quota.
+type Outcome int
+
+const (
+	// Granted lets the request run; it is counted.
+	Granted Outcome = iota
+	// Lacking says that this holder's part is used up, but more may be had: it is worth asking and waiting a moment.
+	Lacking
+	// Exceeded says that the quota is used up.
+	Exceeded
+	// Unknown says that the holder's parts have run out and nobody renews them.
+	Unknown
+)
+
+// String writes the outcome for logs.
+func (o Outcome) String() string {
+	switch o {
+	case Granted:
+		return "granted"
+	case Lacking:
+		return "lacking"
+	case Exceeded:
+		return "exceeded"
+	case Unknown:
+		return "unknown"
+	}
+	return ""
+}
+
+// Verdict is the decision on one request, with what decided it.
+type Verdict struct {
+	Outcome Outcome
+	// Retry is when there may be room, where the quota is used up.
+	Retry time.Time
+	// Held is this holder's part, Used what of it is used, Since the time of the request that the part was given for.
+	Held  int64
+	Used  int64
+	Since time.Time
+	// at is when the request was counted, zero if it was not.
+	at time.Time
+	// asking is the sequence of the request that asks for it.
+	asking uint64
+}
+
+// Holder is the using side at one entry instance; it is for use under one lock. Set the exported fields before use.
+type Holder struct {
+	// Self names this run of the entry instance.
+	Self *wire.QuotaHolder
+
+	window   time.Duration
+	parts    map[string]*part
+	sequence uint64
+	term     uint64
+	// whole: the next request reports everything.
+	whole bool
+	lease time.Duration
+	// granted is when the last request was sent that was answered.
+	granted time.Time
+	// aheadAt is when parts are next asked for ahead of need.
+	aheadAt time.Time
+	origin  time.Time
+}
+
+// part is what is held of one organisation's quota.
+type part struct {
+	// rate and burst are the whole quota's.
+	rate   float64
+	burst  float64
+	held   int64
+	used   limiter.Window
+	wanted int64
+	// asked is the sequence of the last request that reported this part, 0 if its answer no longer fits.
+	asked uint64
+	// dirty: the allotting side does not know yet what is held.
+	dirty bool
+	tight bool
+	// shortUntil is until when no more is to be had.
+	shortUntil time.Time
+}
+
+// Follow takes the organisations of a plan. Where a quota is lowered, this holder's part is lowered alike at once.
+func (h *Holder) Follow(now time.Time, plan *wire.Plan) {
+	if h.origin.IsZero() {
+		h.origin = now.Add(-time.Second)
+	}
+	next := map[string]*part{}
+	for _, o := range plan.GetOrganisations() {
+		if o.GetRate() == 0 {
+			continue
+		}
+		p, ok := h.parts[o.GetName()]
+		if !ok {
+			p = h.newPart()
+		}
+		p.resize(h.window, o.GetRate(), o.GetBurst())
+		next[o.GetName()] = p
+	}
+	h.parts = next
+}
+
+func (h *Holder) newPart() *part {
+	return &part{dirty: true, used: limiter.Window{Origin: h.origin, Length: h.window}}
+}
+
+// resize fits the part to a quota. An answer that is on its way was given for the old one and must not raise it again.
+func (p *part) resize(window time.Duration, rate, burst float64) {
+	before, after := p.rate*window.Seconds()+p.burst, rate*window.Seconds()+burst
+	if after < before {
+		p.held = int64(float64(p.held) * after / before)
+		p.dirty = true
+		p.asked = 0
+	}
+	p.rate, p.burst = rate, burst
+}
+
+// Take counts a request of an organisation, if its quota allows that. Last is the verdict on the same request before, zero
+// if there was none.
+func (h *Holder) Take(now time.Time, organisation string, last Verdict) Verdict {
+	p, ok := h.parts[organisation]
+	if !ok {
+		return Verdict{Outcome: Granted}
+	}
+	out := Verdict{Held: p.held, Used: p.used.Used(now), Since: h.granted}
+	switch {
+	case !h.valid(now):
+		out.Outcome, out.Retry = Unknown, now.Add(unknownRetry)
+	case p.used.Take(now, p.held, 1):
+		out.at = now
+		return out
+	case now.Before(p.shortUntil):
+		out.Outcome, out.Retry = Exceeded, p.room(now)
+		return out
+	default:
+		out.Outcome = Lacking
+	}
+	out.asking = last.asking
+	if last.asking <= h.sequence {
+		p.wanted++
+		out.asking = h.sequence + 1
+	}
+	return out
+}
+
+// room is when there may be room again: when the oldest use leaves the window, or when more may be had.
+func (p *part) room(now time.Time) time.Time {
+	if free := p.used.Free(now); p.held > 0 && free.After(now) {
+		return free
+	}
+	return p.shortUntil
+}
+
+// Return takes back a request that was counted and has not run.
+func (h *Holder) Return(now time.Time, organisation string, v Verdict) {
+	if p, ok := h.parts[organisation]; ok && !v.at.IsZero() {
+		p.used.Return(now, v.at, 1)
+	}
+}
+
+// valid reports whether the parts hold. The steady clock does not count the time in which the process was suspended, and the
+// time of day may be set back, so both have to say so.
+func (h *Holder) valid(now time.Time) bool {
+	return !h.granted.IsZero() && now.Sub(h.granted) < h.lease && now.Round(0).Sub(h.granted.Round(0)) < h.lease
+}
+
+// Wants reports whether requests wait for more than is held.
+func (h *Holder) Wants() bool {
+	for _, p := range h.parts {
+		if p.wanted > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Request lowers what is not needed and returns the next request; there must be no other one on its way.
+func (h *Holder) Request(now time.Time) *wire.AllotRequest {
+	if !h.valid(now) {
+		h.expire()
+	}
+	stale := !now.Before(h.aheadAt)
+	if stale {
+		h.aheadAt = now.Add(renewEvery)
+	}
+	h.sequence++
+	out := &wire.AllotRequest{Holder: h.Self, Sequence: h.sequence, Term: h.term, Whole: h.whole}
+	for name, p := range h.parts {
+		used := p.used.Used(now)
+		p.lower(used)
+		ahead := int64(0)
+		if stale {
+			ahead = p.ahead(used)
+		}
+		if p.dirty || p.wanted > 0 || ahead > 0 || h.whole && p.held+used > 0 {
+			p.asked = h.sequence
+			out.Parts = append(out.Parts, &wire.Part{
+				Organisation: name, Held: p.held, Used: used, Wanted: p.wanted, Ahead: ahead,
+			})
+			p.wanted = 0
+		}
+	}
+	return out
+}
+
+// expire gives up all parts: others may hold them by now.
+func (h *Holder) expire() {
+	h.whole = true
+	for _, p := range h.parts {
+		p.held, p.dirty = 0, true
+	}
+}
+
+// lower gives back what is much more than needed, or all that is not used where others lack it.
+func (p *part) lower(used int64) {
+	most := used + 2*spare(used)
+	if p.tight {
+		most = used
+	}
+	if p.held > most {
+		p.held, p.dirty = most, true
+	}
+}
+
+// ahead is what the holder would like to have more.
+func (p *part) ahead(used int64) int64 {
+	if p.tight {
+		return 0
+	}
+	return max(0, used+spare(used)-p.held)
+}
+
+func spare(used int64) int64 { return max(1, used/spareParts) }
+
+// Answer takes the answer to the last request, which was sent at a time.
+func (h *Holder) Answer(now, sent time.Time, r *wire.AllotResponse) {
+	if r.GetTerm() < h.term {
+		return
+	}
+	h.term, h.whole = r.GetTerm(), r.GetWhole()
+	if r.GetWhole() {
+		return
+	}
+	h.granted, h.lease = sent, time.Duration(r.GetLease())
+	h.measure(time.Duration(r.GetWindow()))
+	for _, a := range r.GetAllotments() {
+		p, ok := h.parts[a.GetOrganisation()]
+		if !ok {
+			continue
+		}
+		p.tight = a.GetTight()
+		if p.asked == h.sequence {
+			p.held, p.dirty = a.GetHeld(), false
+		}
+		if a.GetShort() {
+			p.shortUntil = now.Add(time.Duration(a.GetRetry()))
+		}
+	}
+}
+
+// measure takes the span over which requests are counted.
+func (h *Holder) measure(window time.Duration) {
+	if window == h.window {
+		return
+	}
+	h.window = window
+	for _, p := range h.parts {
+		p.used = limiter.Window{Origin: h.origin, Length: window}
+	}
+}
+
+// Stale reports whether the parts should be renewed.
+func (h *Holder) Stale(now time.Time) bool {
+	return len(h.parts) > 0 && now.Sub(h.granted) >= renewEvery
+}
+
+// Limited reports whether an organisation has a quota.
+func (h *Holder) Limited(organisation string) bool { return h.parts[organisation] != nil }
--- a/core/wire/wireconnect/wire.connect.go
+++ b/core/wire/wireconnect/wire.connect.go
@@ -68,6 +68,8 @@
 	ExchangeWatchProcedure = "/chervilrail.wire.Exchange/Watch"
 	// ExchangeTellProcedure is the fully-qualified name of the Exchange's Tell RPC.
 	ExchangeTellProcedure = "/chervilrail.wire.Exchange/Tell"
+	// ExchangeAllotProcedure is the fully-qualified name of the Exchange's Allot RPC.
+	ExchangeAllotProcedure = "/chervilrail.wire.Exchange/Allot"
 	// PlacementPlaceProcedure is the fully-qualified name of the Placement's Place RPC.
 	PlacementPlaceProcedure = "/chervilrail.wire.Placement/Place"
 )
@@ -462,6 +464,7 @@
 	Submit(context.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
 	Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error)
 	Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error)
+	Allot(context.Context, *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error)
 }
 
 // NewExchangeClient constructs a client for the chervilrail.wire.Exchange service. By default, it
@@ -499,6 +502,12 @@
 			connect.WithSchema(exchangeMethods.ByName("Tell")),
 			connect.WithClientOptions(opts...),
 		),
+		allot: connect.NewClient[wire.AllotRequest, wire.AllotResponse](
+			httpClient,
+			baseURL+ExchangeAllotProcedure,
+			connect.WithSchema(exchangeMethods.ByName("Allot")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -508,6 +517,7 @@
 	submit   *connect.Client[wire.SubmitRequest, wire.SubmitResponse]
 	watch    *connect.Client[wire.WatchRequest, wire.WatchResponse]
 	tell     *connect.Client[wire.TellRequest, wire.TellResponse]
+	allot    *connect.Client[wire.AllotRequest, wire.AllotResponse]
 }
 
 // Exchange calls chervilrail.wire.Exchange.Exchange.
@@ -530,12 +540,18 @@
 	return c.tell.CallUnary(ctx, req)
 }
 
+// Allot calls chervilrail.wire.Exchange.Allot.
+func (c *exchangeClient) Allot(ctx context.Context, req *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error) {
+	return c.allot.CallUnary(ctx, req)
+}
+
 // ExchangeHandler is an implementation of the chervilrail.wire.Exchange service.
 type ExchangeHandler interface {
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 	Submit(context.Context, *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error)
 	Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error)
 	Tell(context.Context, *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error)
+	Allot(context.Context, *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error)
 }
 
 // NewExchangeHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -569,6 +585,12 @@
 		connect.WithSchema(exchangeMethods.ByName("Tell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	exchangeAllotHandler := connect.NewUnaryHandler(
+		ExchangeAllotProcedure,
+		svc.Allot,
+		connect.WithSchema(exchangeMethods.ByName("Allot")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/chervilrail.wire.Exchange/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ExchangeExchangeProcedure:
@@ -579,6 +601,8 @@
 			exchangeWatchHandler.ServeHTTP(w, r)
 		case ExchangeTellProcedure:
 			exchangeTellHandler.ServeHTTP(w, r)
+		case ExchangeAllotProcedure:
+			exchangeAllotHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -604,6 +628,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilrail.wire.Exchange.Tell is not implemented"))
 }
 
+func (UnimplementedExchangeHandler) Allot(context.Context, *connect.Request[wire.AllotRequest]) (*connect.Response[wire.AllotResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilrail.wire.Exchange.Allot is not implemented"))
+}
+
 // PlacementClient is a client for the chervilrail.wire.Placement service.
 type PlacementClient interface {
 	Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error)
--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -23,6 +23,8 @@
 	reason string
 	// gone: the caller left, there is nobody to answer.
 	gone bool
+	// ran: a target may have run the request.
+	ran bool
 }
 
 func refuse(status int, reason string, retry time.Time) result {
@@ -67,8 +69,8 @@
 	_, _ = w.Write([]byte(out.reason + "\n"))
 }
 
-// objectName stands for an object in logs; keys may be private.
-func objectName(object string) string {
+// objectHash stands for an object in logs; keys may be private.
+func objectHash(object string) string {
 	if object == "" {
 		return ""
 	}
@@ -85,7 +87,7 @@
 		version = j.view.Table.Plan.GetVersion()
 	}
 	_ = level.Info(c.Logger).Log("msg", "request", "id", j.call.ID, "route", j.route.GetName(), "service", j.service,
-		"object", objectName(j.object()), "host", j.place.Target, "by", j.place.Reason, "located", j.located,
+		"organisation", j.organisation.GetName(), "object", objectHash(j.object), "host", j.place.Target, "by", j.place.Reason, "located", j.located,
 		"version", version, "target", j.target, "region", j.region, "sends", j.sends, "status", out.status,
 		"reason", out.reason, "waited", j.waited, "took", took, "left", time.Until(j.deadline), "load", j.load)
 }
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -40,7 +40,9 @@
 		decision, present := g.admit(j.request.Context(), c.ticket(j, g, tried))
 		j.waited = time.Since(j.started)
 		if !present {
-			return gone()
+			out := gone()
+			out.ran = certain == unknown
+			return out
 		}
 		if decision.Target == nil && certain != unknown {
 			return refuse(http.StatusServiceUnavailable, decision.Reason, decision.Retry)
@@ -50,6 +52,7 @@
 		}
 		out, end := c.attempt(j, g, decision)
 		if end == answered {
+			out.ran = true
 			return out
 		}
 		tried = append(tried, decision.Target.Name)
@@ -69,44 +72,43 @@
 		Host:     j.place.Target,
 		WarmAt:   j.place.WarmAt,
 		First:    j.place.First,
-		Key:      j.object(),
+		Key:      j.object,
+		Rank:     j.organisation.GetPriority(),
 		Priority: j.route.GetPriority(),
 		Aim:      j.started.Add(time.Duration(j.route.GetAim())),
 		Deadline: j.deadline,
 		Warm:     warm,
 		Cold:     cold,
 		Tried:    tried,
-		Regions:  j.route.GetRegions(),
+		Regions:  j.regions,
 		Decided:  make(chan placer.Decision, 1),
 	}
 }
 
 // locate finds the target that keeps the request's object warm.
 func (c *Carrier) locate(j *job, g *gate, cold time.Duration) placer.Place {
-	object := j.object()
-	if object == "" {
+	j.object = j.objectName()
+	if j.object == "" {
 		return placer.Place{}
 	}
 	started := time.Now()
-	if place, ok := g.known(started, object, j.route.GetRegions()); ok {
+	if place, ok := g.known(started, j.object, j.regions); ok {
 		return place
 	}
+	if len(j.organisation.GetRegions()) > 0 {
+		j.object = j.boundName(j.object)
+		if place, ok := g.known(started, j.object, j.regions); ok {
+			return place
+		}
+	}
 	place := c.Locator.Locate(j.request.Context(), j.view.Peers, j.service, placer.Ask{
-		Object: object, Route: j.route.GetName(), Hint: g.seen(object), Cold: cold, Regions: j.route.GetRegions(),
+		Object: j.object, Route: j.route.GetName(), Hint: g.seen(j.object), Cold: cold, Regions: j.regions,
 	})
 	j.located = time.Since(started)
-	g.confirm(time.Now(), object, place)
+	g.confirm(time.Now(), j.object, place)
 	return place
 }
 
-// object names what the request concerns, where targets keep that warm.
-func (j *job) object() string {
-	if !j.route.GetSticky() || j.call.Key == "" {
-		return ""
-	}
-	return j.route.GetName() + "/" + j.call.Key
-}
-
 // retriedLosses is how many targets may have died under a request that is still sent to another one. One death is
 // mostly not the request's doing, and its caller would lose an answer that the next target has ready.
 const retriedLosses = 1
@@ -135,7 +137,7 @@
 	t := d.Target
 	// Where a request goes that its object's host has no room for says nothing of the next one.
 	if j.place.Target == "" || j.place.Target == t.Name {
-		g.saw(j.object(), t.Name)
+		g.saw(j.object, t.Name)
 	}
 	j.target, j.region = t.Name, t.Region
 	start := time.Now()
@@ -191,7 +193,9 @@
 	header := j.request.Header.Clone()
 	messenger.RemoveHop(header)
 	header.Del("Content-Length")
-	c.Face.Address(header, t.Name, j.deadline, now)
+	c.Face.Address(header, messenger.Addressee{
+		Target: t.Name, Organisation: j.organisation.GetName(), Deadline: j.deadline,
+	}, now)
 	return &pooler.Request{
 		Method: j.request.Method,
 		Path:   j.path(),
@@ -266,8 +270,10 @@
 	if end != unknown {
 		return refuse(http.StatusServiceUnavailable, "failed", now.Add(retryPause))
 	}
+	out := refuse(http.StatusBadGateway, "broken", time.Time{})
 	if !now.Before(j.deadline) {
-		return refuse(http.StatusGatewayTimeout, "timeout", time.Time{})
+		out = refuse(http.StatusGatewayTimeout, "timeout", time.Time{})
 	}
-	return refuse(http.StatusBadGateway, "broken", time.Time{})
+	out.ran = true
+	return out
 }
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -19,6 +19,7 @@
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/core/quoter"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/locator"
 	"chervilrail.example/entry/internal/pooler"
@@ -55,6 +56,12 @@
 	Owns(peers []locator.Peer, object uint64) bool
 }
 
+// Quotas decides on requests by their organisations' quotas.
+type Quotas interface {
+	Admit(ctx context.Context, organisation string, deadline time.Time) quoter.Verdict
+	Return(organisation string, v quoter.Verdict)
+}
+
 // Carrier is the traffic service. Set the exported fields before Start.
 type Carrier struct {
 	// Self is this instance's name.
@@ -65,6 +72,7 @@
 	Views      Views
 	Sender     Sender
 	Locator    Locator
+	Quotas     Quotas
 	Quarantine *quarantiner.Quarantiner
 	Logger     log.Logger
 	Metrics    *Metrics
@@ -253,5 +261,12 @@
 	if until := c.Quarantine.Refused(j.started, j.fingerprint); !until.IsZero() {
 		return refuse(http.StatusServiceUnavailable, "quarantine", until)
 	}
-	return c.attempts(j)
+	if out := c.admit(j); out != nil {
+		return *out
+	}
+	out := c.attempts(j)
+	if !out.ran {
+		c.Quotas.Return(j.organisation.GetName(), j.quota)
+	}
+	return out
 }
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -20,6 +20,7 @@
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/core/quoter"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/locator"
 	"chervilrail.example/entry/internal/pooler"
@@ -91,6 +92,12 @@
 }
 func (alone) Owns([]locator.Peer, uint64) bool { return true }
 
+// unbounded grants every request.
+type unbounded struct{}
+
+func (unbounded) Admit(context.Context, string, time.Time) quoter.Verdict { return quoter.Verdict{} }
+func (unbounded) Return(string, quoter.Verdict)                           {}
+
 func plan() *wire.Plan {
 	split := []*wire.Split{{Service: "listings", Weight: 1}}
 	common := func(name, prefix string, idempotent bool) *wire.Route {
@@ -116,7 +123,7 @@
 		Table: planner.NewTable(plan()), Targets: map[string][]placer.Spec{"listings": specs}, Entries: 1,
 	}
 	c := &Carrier{
-		Self: "e1", Locator: alone{}, Region: "r", Zone: "z", Face: translator.Face{}, Views: &views{view}, Sender: s,
+		Self: "e1", Locator: alone{}, Quotas: unbounded{}, Region: "r", Zone: "z", Face: translator.Face{}, Views: &views{view}, Sender: s,
 		Quarantine: &quarantiner.Quarantiner{Confirm: 3}, Logger: log.NewNopLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
 	is.New(t).NoErr(c.Start(context.Background(), nil))
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -11,6 +11,7 @@
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/core/quoter"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/watcher"
 )
@@ -27,12 +28,18 @@
 
 // job is one caller's request on its way.
 type job struct {
-	request     *http.Request
-	view        *watcher.View
-	started     time.Time
-	call        messenger.Call
-	route       *wire.Route
-	service     string
+	request *http.Request
+	view    *watcher.View
+	started time.Time
+	call    messenger.Call
+	route   *wire.Route
+	service string
+	// organisation is whose key came with the request, nil if none is known.
+	organisation *wire.Organisation
+	// regions may serve it, where the route or the organisation says; empty allows all.
+	regions []string
+	// quota is the decision by the organisation's quota.
+	quota       quoter.Verdict
 	deadline    time.Time
 	body        []byte
 	fingerprint quarantiner.Fingerprint
@@ -42,6 +49,8 @@
 	sends  int
 	load   *messenger.Load
 	waited time.Duration
+	// object names what the request concerns, empty for nothing that targets keep warm.
+	object string
 	// place is where the request's object is kept warm, located how long it took to find out.
 	place   placer.Place
 	located time.Duration
@@ -61,6 +70,9 @@
 		return &out
 	}
 	j.call = call
+	if out := j.identify(); out != nil {
+		return out
+	}
 	timeout := time.Duration(route.GetTimeout())
 	if timeout == 0 {
 		timeout = defaultTimeout
--- a/entry/internal/cli/routed.go
+++ b/entry/internal/cli/routed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -19,6 +20,7 @@
 	"chervilrail.example/core/reloader"
 	"chervilrail.example/core/reporter"
 	"chervilrail.example/core/wire"
+	"chervilrail.example/entry/internal/asker"
 	"chervilrail.example/entry/internal/carrier"
 	"chervilrail.example/entry/internal/config"
 	"chervilrail.example/entry/internal/locator"
@@ -45,6 +47,7 @@
 	watcher  *watcher.Watcher
 	carrier  *carrier.Carrier
 	locator  *locator.Locator
+	asker    *asker.Asker
 	leaver   *leaver
 }
 
@@ -70,12 +73,22 @@
 	p.locator = &locator.Locator{
 		Self: settings.Name, Dialer: &dialer.Dialer{Plain: true}, Assigner: p.carrier, Logger: p.logger,
 	}
-	p.carrier.Locator = p.locator
-	p.watcher.Changed, p.watcher.Hosts, p.watcher.Loads = p.carrier.Follow, p.carrier.Remember, p.carrier.Hear
+	p.asker = &asker.Asker{
+		Self:        &wire.QuotaHolder{Name: settings.Name, Incarnation: rand.Uint64()},
+		Controllers: p.watcher, Dialer: &dialer.Dialer{Plain: true}, Logger: p.logger,
+	}
+	p.carrier.Locator, p.carrier.Quotas = p.locator, p.asker
+	p.watcher.Changed, p.watcher.Hosts, p.watcher.Loads = p.follow, p.carrier.Remember, p.carrier.Hear
 	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, serve: settings.Answer, logger: p.logger}
 	return p
 }
 
+// follow puts a new view in force.
+func (p *routed) follow(v *watcher.View) {
+	p.asker.Follow(time.Now(), v.Table.Plan)
+	p.carrier.Follow(v)
+}
+
 // takeLosses counts what other entry instances saw, as if it had been seen here.
 func takeLosses(q *quarantiner.Quarantiner, reports []*wire.Loss) {
 	now := time.Now()
@@ -111,6 +124,7 @@
 		&reloader.Reloader{Load: p.reload, Logger: p.logger},
 		p.carrier,
 		p.locator,
+		p.asker,
 		p.watcher,
 		&listener.Listener{Title: "operator", Address: s.Operator, Handler: operator, Logger: p.logger},
 		&listener.Listener{Title: "caller", Address: s.Caller, Handler: p.carrier, Logger: p.logger},
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -131,6 +131,15 @@
 // View returns the newest view, or nil before the first.
 func (w *Watcher) View() *View { return w.view.Load() }
 
+// Controller returns the controller that is watched, false before the first.
+func (w *Watcher) Controller() (netip.AddrPort, bool) {
+	at := w.teller.at.Load()
+	if at == nil {
+		return netip.AddrPort{}, false
+	}
+	return *at, true
+}
+
 // Reseed replaces the controllers to turn to when none of the known ones answers.
 func (w *Watcher) Reseed(seeds []netip.AddrPort) {
 	w.mu.Lock()
