--- a/controller/internal/consenter/apply.go
+++ b/controller/internal/consenter/apply.go
@@ -22,9 +22,7 @@
 			result = c.state.Apply(command)
 			c.logChange(command, result)
 			c.noteRouting(command, result)
-			if change := command.GetHolder(); change != nil {
-				c.noteHolder(time.Now(), e.GetTerm(), change)
-			}
+			c.noteQuotas(time.Now(), e.GetTerm(), command, result)
 		}
 	}
 	p, ok := c.waiting[e.GetIndex()]
--- a/controller/internal/consenter/quotas.go
+++ b/controller/internal/consenter/quotas.go
@@ -19,6 +19,8 @@
 	quotaLease = 20 * time.Second
 	// pruneEvery is how often entry instances are looked for that are gone for good.
 	pruneEvery = time.Second
+	// stretchEvery is the least time between two proposals to stretch organisations, so that one serves many.
+	stretchEvery = 50 * time.Millisecond
 )
 
 // quotas are the parts of organisations' quotas while this controller leads.
@@ -26,12 +28,15 @@
 	allotter *quoter.Allotter
 	// applied is the term of the last applied entry. Before the first one of its own, a leader may not have applied all that
 	// was listed before.
-	applied uint64
-	plan    *wire.Plan
-	holders []*wire.QuotaHolder
+	applied   uint64
+	plan      *wire.Plan
+	holders   []*wire.QuotaHolder
+	stretched []string
 	// listing holds the entry instances whose listing this leader has proposed, by when.
 	listing map[string]time.Time
 	pruneAt time.Time
+	// stretchAt is when organisations may next be stretched.
+	stretchAt time.Time
 }
 
 // lead begins to allot anew.
@@ -39,7 +44,8 @@
 	q.allotter = &quoter.Allotter{
 		Terms: c.Quotas, Term: c.replica.Term(), Since: now, Lease: quotaLease, Distrust: c.Timing.Election,
 	}
-	q.plan, q.holders, q.listing = nil, nil, map[string]time.Time{}
+	q.plan, q.holders, q.stretched, q.listing = nil, nil, nil, map[string]time.Time{}
+	q.allotter.Follow(c.state.Plan(), c.state.Holders(), c.state.Stretched())
 }
 
 // noticeQuotas follows the replicated state.
@@ -51,27 +57,43 @@
 	if q.allotter.Term != c.replica.Term() {
 		q.lead(c, now)
 	}
-	if plan, holders := c.state.Plan(), c.state.Holders(); plan != q.plan || !slices.Equal(holders, q.holders) {
-		q.plan, q.holders = plan, holders
-		q.allotter.Follow(plan, holders)
+	plan, holders, stretched := c.state.Plan(), c.state.Holders(), c.state.Stretched()
+	if plan != q.plan || !slices.Equal(holders, q.holders) || !slices.Equal(stretched, q.stretched) {
+		q.plan, q.holders, q.stretched = plan, holders, stretched
+		q.allotter.Follow(plan, holders, stretched)
 	}
-	if now.Before(q.pruneAt) || !c.leads(now) {
+	if c.leads(now) {
+		c.tendQuotas(now)
+	}
+}
+
+// tendQuotas proposes what has to be replicated before it may be relied on.
+func (c *Consenter) tendQuotas(now time.Time) {
+	q := &c.quotas
+	if names := q.allotter.Stretching(); len(names) > 0 && !now.Before(q.stretchAt) {
+		q.stretchAt = now.Add(stretchEvery)
+		c.proposeOwn(&wire.Command{Stretch: &wire.StretchChange{Organisations: names, On: true}})
+	}
+	if now.Before(q.pruneAt) {
 		return
 	}
 	q.pruneAt = now.Add(pruneEvery)
 	for _, h := range q.allotter.Gone(now) {
-		c.changeHolder(&wire.HolderChange{Holder: h, Gone: true})
+		c.proposeOwn(&wire.Command{Holder: &wire.HolderChange{Holder: h, Gone: true}})
+	}
+	if names := q.allotter.Relaxing(); len(names) > 0 {
+		c.proposeOwn(&wire.Command{Stretch: &wire.StretchChange{Organisations: names}})
 	}
 }
 
-func (c *Consenter) changeHolder(change *wire.HolderChange) {
-	data, err := proto.Marshal(&wire.Command{Holder: change})
-	if err != nil {
-		_ = level.Error(c.Logger).Log("msg", "holder of quotas not listed", "holder", change.GetHolder().GetName(), "err", err)
-		return
+// proposeOwn proposes a command for whose result nobody waits; if it is lost, it is proposed again.
+func (c *Consenter) proposeOwn(command *wire.Command) {
+	data, err := proto.Marshal(command)
+	if err == nil {
+		_, _, err = c.replica.Propose(data)
 	}
-	if _, _, err = c.replica.Propose(data); err != nil {
-		_ = level.Warn(c.Logger).Log("msg", "holder of quotas not listed", "holder", change.GetHolder().GetName(), "err", err)
+	if err != nil {
+		_ = level.Warn(c.Logger).Log("msg", "command on quotas not proposed", "err", err)
 	}
 }
 
@@ -110,7 +132,17 @@
 		return
 	}
 	c.quotas.listing[h.GetName()] = now
-	c.changeHolder(&wire.HolderChange{Holder: h})
+	c.proposeOwn(&wire.Command{Holder: &wire.HolderChange{Holder: h}})
+}
+
+// noteQuotas takes up an applied command on quotas.
+func (c *Consenter) noteQuotas(now time.Time, term uint64, command *wire.Command, result *wire.Result) {
+	if change := command.GetHolder(); change != nil {
+		c.noteHolder(now, term, change)
+	}
+	if change := command.GetStretch(); change != nil {
+		c.noteStretch(now, term, change, result.GetChanged())
+	}
 }
 
 // noteHolder takes up a listing that was applied.
@@ -127,6 +159,20 @@
 		"incarnation", change.GetHolder().GetIncarnation(), "gone", change.GetGone(), "holders", len(q.holders))
 }
 
+// noteStretch takes up a change of the stretched organisations that was applied.
+func (c *Consenter) noteStretch(now time.Time, term uint64, change *wire.StretchChange, changed []string) {
+	q := &c.quotas
+	if q.allotter == nil {
+		return
+	}
+	c.noticeQuotas(now)
+	if term == c.replica.Term() {
+		q.allotter.Stretched(change, changed)
+	}
+	_ = level.Info(c.Logger).Log("msg", "quotas stretched", "organisations", len(change.GetOrganisations()),
+		"on", change.GetOn(), "changed", len(changed), "stretched", len(q.stretched))
+}
+
 // Allot answers an entry instance that asks for parts of quotas.
 func (c *Consenter) Allot(ctx context.Context, r *wire.AllotRequest) (*wire.AllotResponse, error) {
 	reply := make(chan allotAnswer, 1)
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -30,6 +30,7 @@
 	digests     map[string]bool
 	digestOrder [][]byte
 	holders     []*wire.QuotaHolder
+	stretched   []string
 }
 
 // Number returns the number of the catalogue in force.
@@ -56,6 +57,8 @@
 		k.evacuate(c.GetEvacuation())
 	case c.GetHolder() != nil:
 		k.changeHolder(c.GetHolder())
+	case c.GetStretch() != nil:
+		return &wire.Result{Changed: k.stretch(c.GetStretch())}
 	case c.GetRead():
 		return &wire.Result{Current: k.plan}
 	}
@@ -107,6 +110,7 @@
 		Digests:   k.digestOrder,
 		Evacuated: k.evacuated,
 		Holders:   k.holders,
+		Stretched: k.stretched,
 	}
 	for _, id := range k.order {
 		s.Answers = append(s.Answers, &wire.Answer{Id: id, Verdict: k.answers[id]})
@@ -137,5 +141,6 @@
 	k.Ledger.Restore(s.GetClaims())
 	k.restorePlan(s)
 	k.holders = s.GetHolders()
+	k.stretched = s.GetStretched()
 	return nil
 }
--- a/core/quoter/allotter.go
+++ b/core/quoter/allotter.go
@@ -1,16 +1,28 @@
 package quoter
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"chervilrail.example/core/wire"
 )
 
 const (
-	// tightParts: a quota is tight while less than an eighth of it is free. Holders then give back what they do not use.
-	tightParts = 8
-	// aheadParts: parts are given ahead of need while more than a quarter of a quota is free.
-	aheadParts = 4
+	// usualPart is the part of a quota that all holders together hold at most, unless the organisation is stretched. A new
+	// leader gives out the rest before it has heard all holders, which takes a window where all of them have restarted.
+	usualPart = 2.0 / 3
+	// aheadPart is the part of the usual part up to which parts are given ahead of need, tightPart the one from which on
+	// holders give back what they do not use.
+	aheadPart = 0.8
+	tightPart = 0.92
+	// relaxPart is the part of the usual part below which an organisation is stretched no longer.
+	relaxPart = 0.9
+	// evenPart is the part of the usual part that is spread evenly over all holders before they need it: what they have then
+	// serves their first requests while no leader can be reached.
+	evenPart = 0.5
+	// soonRetry is after what a holder asks again while other holders are not known yet: they report within a few calls.
+	soonRetry = 150 * time.Millisecond
 	// shortParts is the part of a window after which a holder that got too little asks again: a tenth.
 	shortParts = 10
 	// stood is how far the time of day may run ahead of the steady clock between two looks; more shows that the process
@@ -41,7 +53,14 @@
 	listed map[id]*holder
 	latest map[string]id
 	// unknown holds, by listed holders that have not reported to this leader, until when they may hold anything.
-	unknown    map[id]time.Time
+	unknown map[id]time.Time
+	// stretched are the organisations whose parts may add up to the whole quota. Those that this leader stretched first, fresh,
+	// may get the rest beyond the usual part also while some holders are unknown.
+	stretched map[string]bool
+	fresh     map[string]bool
+	// stretching and relaxing are those for which that is to begin or to end.
+	stretching map[string]bool
+	relaxing   map[string]bool
 	lookedAt   time.Time
 	endAt      time.Time
 	distrusted time.Time
@@ -49,10 +68,15 @@
 
 type quota struct {
 	limit int64
-	// sum is what all holders may let through.
+	// sum is what all holders may let through, as far as they are known.
 	sum int64
+	// given is what was given out while some holders were unknown.
+	given int64
 }
 
+// usual is what holders may hold together while the organisation is not stretched.
+func (q *quota) usual() int64 { return int64(usualPart * float64(q.limit)) }
+
 type holder struct {
 	sequence uint64
 	// until is when nothing given to the holder can be in use any more, zero before its first report.
@@ -63,11 +87,16 @@
 	over     bool
 }
 
-// Follow takes the organisations of the plan in force and the listed holders, oldest first.
-func (a *Allotter) Follow(plan *wire.Plan, holders []*wire.QuotaHolder) {
-	a.followQuotas(plan)
+// Follow takes the organisations of the plan in force, the listed holders, oldest first, and the stretched organisations.
+func (a *Allotter) Follow(plan *wire.Plan, holders []*wire.QuotaHolder, stretched []string) {
 	if a.listed == nil {
 		a.listed, a.unknown = map[id]*holder{}, map[id]time.Time{}
+		a.fresh, a.stretching, a.relaxing = map[string]bool{}, map[string]bool{}, map[string]bool{}
+	}
+	a.followQuotas(plan)
+	a.stretched = map[string]bool{}
+	for _, name := range stretched {
+		a.stretched[name] = true
 	}
 	a.latest = map[string]id{}
 	present := map[id]bool{}
@@ -108,7 +137,7 @@
 		}
 		q := &quota{limit: limit}
 		if old, ok := a.quotas[o.GetName()]; ok {
-			q.sum = old.sum
+			q.sum, q.given = old.sum, old.given
 		}
 		next[o.GetName()] = q
 	}
@@ -221,18 +250,37 @@
 		out.Whole = true
 		return out, nil
 	}
+	if h.until.IsZero() {
+		a.outrun(now, who, time.Duration(r.GetAge()))
+	}
 	h.until, h.over = a.mayHold(now), false
 	a.note(h, r)
 	delete(a.unknown, who)
 	for _, p := range r.GetParts() {
 		if q, ok := a.quotas[p.GetOrganisation()]; ok {
-			out.Allotments = append(out.Allotments, a.give(h, q, p))
+			out.Allotments = append(out.Allotments, a.give(now, h, q, p))
 		}
 	}
 	a.callBack(h, r, out)
 	return out, nil
 }
 
+// outrun ends the parts of earlier runs of a holder: its run has lasted so long already.
+func (a *Allotter) outrun(now time.Time, who id, age time.Duration) {
+	ended := now.Add(a.outlast() - max(0, age))
+	for other, h := range a.listed {
+		if other.name != who.name || other == who {
+			continue
+		}
+		if ended.Before(h.until) {
+			h.until = ended
+		}
+		if unknown, ok := a.unknown[other]; ok && ended.Before(unknown) {
+			a.unknown[other] = ended
+		}
+	}
+}
+
 // note takes the holder's word for what it holds: it ignores every answer to an earlier request, so that no larger part
 // can come into use after this report.
 func (a *Allotter) note(h *holder, r *wire.AllotRequest) {
@@ -247,30 +295,98 @@
 }
 
 // give adds to a holder's part what it wants, as far as that is free.
-func (a *Allotter) give(h *holder, q *quota, p *wire.Part) *wire.Allotment {
-	free := max(0, q.limit-q.sum)
-	if len(a.unknown) > 0 {
-		free = 0
-	}
-	wanted := max(0, p.GetWanted())
+func (a *Allotter) give(now time.Time, h *holder, q *quota, p *wire.Part) *wire.Allotment {
+	name := p.GetOrganisation()
+	free, wanted := a.free(name, q), max(0, p.GetWanted())
 	given := min(free, wanted)
-	if ahead := max(0, p.GetAhead()); free-given > q.limit/aheadParts {
-		given += min(free-given-q.limit/aheadParts, ahead)
+	if room := int64(aheadPart*float64(q.usual())) - q.sum - given; room > 0 && len(a.unknown) == 0 {
+		ahead := max(p.GetAhead(), a.even(q)-p.GetHeld()-given)
+		given += min(room, free-given, max(0, ahead))
 	}
-	name := p.GetOrganisation()
-	held := max(0, p.GetHeld())
+	held := max(0, p.GetHeld()) + given
 	if given > 0 {
-		held += given
 		a.set(h, name, max(held, h.parts[name]))
 	}
+	if len(a.unknown) > 0 {
+		q.given += given
+	}
 	out := &wire.Allotment{Organisation: name, Held: held, Tight: a.tight(q)}
-	if given < wanted {
-		out.Short, out.Retry = true, int64(a.Window/shortParts)
+	if given < wanted && a.whole(name) {
+		out.Short, out.Retry, out.Room = true, int64(a.Window/shortParts), int64(a.awaits(now))
+		if len(a.unknown) > 0 {
+			out.Retry = int64(soonRetry)
+		}
+	} else if given < wanted {
+		a.stretching[name] = true
 	}
 	return out
 }
 
-func (a *Allotter) tight(q *quota) bool { return q.limit-q.sum < max(1, q.limit/tightParts) }
+// even is what each holder gets before it needs it.
+func (a *Allotter) even(q *quota) int64 {
+	return int64(evenPart * float64(q.usual()) / float64(max(1, len(a.latest))))
+}
+
+// awaits is how long it takes until the last holder is known or holds nothing, if that can be told: those that still run
+// report sooner.
+func (a *Allotter) awaits(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for who, until := range a.unknown {
+		if a.latest[who.name] != who {
+			longest = max(longest, until.Sub(now))
+		}
+	}
+	return longest
+}
+
+// whole reports whether the parts of an organisation may add up to its whole quota.
+func (a *Allotter) whole(name string) bool { return a.stretched[name] && !a.relaxing[name] }
+
+// free is how much more of a quota may be given out now.
+func (a *Allotter) free(name string, q *quota) int64 {
+	switch {
+	case len(a.unknown) > 0 && !a.fresh[name]:
+		return 0
+	case len(a.unknown) > 0:
+		// Whatever the unknown ones hold, with what the known ones had it is the usual part at most.
+		return max(0, q.limit-q.usual()-q.given)
+	case a.whole(name):
+		return max(0, q.limit-q.sum)
+	}
+	return max(0, q.usual()-q.sum)
+}
+
+// Stretching returns organisations whose parts have to be let add up to the whole quota, sorted.
+func (a *Allotter) Stretching() []string { return slices.Sorted(maps.Keys(a.stretching)) }
+
+// Relaxing returns organisations that need no more than the usual part again, sorted. From now on they get no more.
+func (a *Allotter) Relaxing() []string {
+	if len(a.unknown) > 0 {
+		return nil
+	}
+	for name := range a.stretched {
+		q, ok := a.quotas[name]
+		if !ok || float64(q.sum) < relaxPart*float64(q.usual()) {
+			a.relaxing[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(a.relaxing))
+}
+
+// Stretched tells that this leader has let the parts of organisations add up to their whole quotas, or ended that; changed
+// are those for which that was otherwise before.
+func (a *Allotter) Stretched(c *wire.StretchChange, changed []string) {
+	for _, name := range c.GetOrganisations() {
+		delete(a.stretching, name)
+		delete(a.relaxing, name)
+		delete(a.fresh, name)
+	}
+	for _, name := range changed {
+		a.fresh[name] = c.GetOn()
+	}
+}
+
+func (a *Allotter) tight(q *quota) bool { return float64(q.sum) > tightPart*float64(q.usual()) }
 
 // callBack tells a holder of its parts of tight quotas that it did not mention.
 func (a *Allotter) callBack(h *holder, r *wire.AllotRequest, out *wire.AllotResponse) {
--- a/core/quoter/holder.go
+++ b/core/quoter/holder.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// spareParts: a holder likes to have a third of what it uses at hand beyond that, and one at least.
-	spareParts = 3
+	// spareParts: a holder likes to have half of what it uses at hand beyond that, and one at least.
+	spareParts = 2
 	// renewEvery is how often parts are renewed without need.
 	renewEvery = time.Second
 	// unknownRetry is after what a caller is asked back whose organisation's quota nobody can tell.
@@ -64,6 +64,8 @@
 type Holder struct {
 	// Self names this run of the entry instance.
 	Self *wire.QuotaHolder
+	// Started is when this run began.
+	Started time.Time
 
 	window   time.Duration
 	parts    map[string]*part
@@ -92,8 +94,9 @@
 	// dirty: the allotting side does not know yet what is held.
 	dirty bool
 	tight bool
-	// shortUntil is until when no more is to be had.
+	// shortUntil is until when no more is asked for, roomAt when there is room again as far as that is known.
 	shortUntil time.Time
+	roomAt     time.Time
 }
 
 // Follow takes the organisations of a plan. Where a quota is lowered, this holder's part is lowered alike at once.
@@ -164,6 +167,9 @@
 	if free := p.used.Free(now); p.held > 0 && free.After(now) {
 		return free
 	}
+	if p.roomAt.After(p.shortUntil) {
+		return p.roomAt
+	}
 	return p.shortUntil
 }
 
@@ -200,7 +206,9 @@
 		h.aheadAt = now.Add(renewEvery)
 	}
 	h.sequence++
-	out := &wire.AllotRequest{Holder: h.Self, Sequence: h.sequence, Term: h.term, Whole: h.whole}
+	out := &wire.AllotRequest{
+		Holder: h.Self, Sequence: h.sequence, Term: h.term, Whole: h.whole, Age: int64(now.Sub(h.Started)),
+	}
 	for name, p := range h.parts {
 		used := p.used.Used(now)
 		p.lower(used)
@@ -227,14 +235,11 @@
 	}
 }
 
-// lower gives back what is much more than needed, or all that is not used where others lack it.
+// lower gives back half of what is not used, where others lack it. Given back at once by all holders, it would be missing at
+// them a moment later.
 func (p *part) lower(used int64) {
-	most := used + 2*spare(used)
-	if p.tight {
-		most = used
-	}
-	if p.held > most {
-		p.held, p.dirty = most, true
+	if idle := p.held - used; p.tight && idle > 0 {
+		p.held, p.dirty = p.held-(idle+1)/2, true
 	}
 }
 
@@ -269,7 +274,7 @@
 			p.held, p.dirty = a.GetHeld(), false
 		}
 		if a.GetShort() {
-			p.shortUntil = now.Add(time.Duration(a.GetRetry()))
+			p.shortUntil, p.roomAt = now.Add(time.Duration(a.GetRetry())), now.Add(time.Duration(a.GetRoom()))
 		}
 	}
 }
--- a/core/quoter/leased_test.go
+++ b/core/quoter/leased_test.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"chervilrail.example/core/keeper"
 	"chervilrail.example/core/wire"
 )
 
@@ -23,7 +24,9 @@
 	allotter *Allotter
 	holders  []*seat
 	listed   []*wire.QuotaHolder
+	state    keeper.Keeper
 	sent     int
+	relaxAt  time.Time
 	// down: no leader answers.
 	down bool
 	// lose tells whether a message is lost.
@@ -54,7 +57,7 @@
 	l := &leased{terms: terms, plan: &wire.Plan{Organisations: organisations}, lose: func() bool { return false }}
 	for i := range instances {
 		l.listed = append(l.listed, &wire.QuotaHolder{Name: organisationName(i), Incarnation: 1})
-		s := &seat{holder: Holder{Self: l.listed[i]}}
+		s := &seat{holder: Holder{Self: l.listed[i], Started: now.Add(-time.Minute)}}
 		s.holder.Follow(now, l.plan)
 		l.holders = append(l.holders, s)
 	}
@@ -65,12 +68,12 @@
 // elect makes a new leader that knows what is replicated and nothing else.
 func (l *leased) elect(now time.Time, term uint64) {
 	l.allotter = &Allotter{Terms: l.terms, Term: term, Since: now, Lease: testLease, Distrust: time.Second}
-	l.allotter.Follow(l.plan, l.listed)
+	l.allotter.Follow(l.plan, l.listed, l.state.Stretched())
 }
 
 func (l *leased) follow(now time.Time, plan *wire.Plan) {
 	l.plan = plan
-	l.allotter.Follow(plan, l.listed)
+	l.allotter.Follow(plan, l.listed, l.state.Stretched())
 	for _, s := range l.holders {
 		if !s.cut {
 			s.holder.Follow(now, plan)
@@ -78,6 +81,17 @@
 	}
 }
 
+// stretch replicates what the leader wants replicated.
+func (l *leased) stretch(names []string, on bool) {
+	if len(names) == 0 || l.down {
+		return
+	}
+	change := &wire.StretchChange{Organisations: names, On: on}
+	changed := l.state.Apply(&wire.Command{Stretch: change}).GetChanged()
+	l.allotter.Follow(l.plan, l.listed, l.state.Stretched())
+	l.allotter.Stretched(change, changed)
+}
+
 func organisationName(i int) string { return "e" + string(rune('a'+i%26)) + string(rune('a'+i/26)) }
 
 func (l *leased) admit(now time.Time, instance, organisation int, done func(granted bool)) {
@@ -93,6 +107,11 @@
 }
 
 func (l *leased) tick(now time.Time) {
+	l.stretch(l.allotter.Stretching(), true)
+	if now.Sub(l.relaxAt) > time.Second {
+		l.relaxAt = now
+		l.stretch(l.allotter.Relaxing(), false)
+	}
 	for _, s := range l.holders {
 		l.call(now, s)
 		l.wake(now, s, false)
@@ -148,10 +167,12 @@
 
 // restart replaces a run of an entry instance by the next, which is listed behind it.
 func (l *leased) restart(now time.Time, s *seat) {
-	s.holder = Holder{Self: &wire.QuotaHolder{Name: s.holder.Self.GetName(), Incarnation: s.holder.Self.GetIncarnation() + 1}}
+	s.holder = Holder{Started: now, Self: &wire.QuotaHolder{
+		Name: s.holder.Self.GetName(), Incarnation: s.holder.Self.GetIncarnation() + 1,
+	}}
 	s.holder.Follow(now, l.plan)
 	s.busy, s.answer, s.waiting = false, nil, nil
 	l.listed = append(l.listed, s.holder.Self)
-	l.allotter.Follow(l.plan, l.listed)
+	l.allotter.Follow(l.plan, l.listed, l.state.Stretched())
 	l.allotter.New(s.holder.Self)
 }
--- a/core/quoter/quoter_test.go
+++ b/core/quoter/quoter_test.go
@@ -128,6 +128,60 @@
 	is.True(got.after < 0.02)
 }
 
+// Guards against entry instances that hold so little when traffic begins that a leader's loss then stops most requests.
+func TestTheLeaderIsLostWhileTrafficBegins(t *testing.T) {
+	is := is.New(t)
+	w := &world{
+		terms: testTerms, instances: 84, organisations: skewed(88, 2000), where: anywhere(84),
+		demand: func(at time.Duration, _ int) float64 {
+			if at < 5*time.Second {
+				return 0
+			}
+			return calm
+		},
+	}
+	l := newLeased(begun, w.terms, w.instances, w.organisations)
+	w.each = func(now time.Time, at time.Duration) {
+		l.down = at > 7*time.Second && at < 9*time.Second
+		if at == 9*time.Second {
+			l.elect(now, 2)
+		}
+	}
+	tallies := w.play(7, 12*time.Second, l)
+	asked, refused, late := 0, 0, 0
+	for _, o := range tallies {
+		asked += o.askedIn[7] + o.askedIn[8]
+		refused += o.refused[7] + o.refused[8]
+		late += o.refused[10] + o.refused[11]
+	}
+	t.Logf("refused %.3f while no leader was there, %d of the next", float64(refused)/float64(asked), late)
+	is.True(float64(refused) < 0.5*float64(asked))
+	is.True(float64(late) < 0.001*float64(asked))
+}
+
+// Guards against a system that refuses nearly everything for a window after all of it has restarted.
+func TestAllRestartAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := &world{
+		terms: testTerms, instances: 84, organisations: skewed(88, 2000),
+		demand: func(time.Duration, int) float64 { return calm }, where: anywhere(84),
+	}
+	l := newLeased(begun, w.terms, w.instances, w.organisations)
+	w.each = func(now time.Time, at time.Duration) {
+		l.down = at > 8*time.Second && at < 10*time.Second
+		if at == 10*time.Second {
+			for _, s := range l.holders {
+				l.restart(now, s)
+			}
+			l.elect(now, 2)
+		}
+	}
+	got := compare(w, 6, 10, 15*time.Second, l)
+	t.Logf("refused %.4f, after %.4f, fullest window %.2f", got.before, got.after, got.most)
+	is.True(got.most <= 1)
+	is.True(got.after < 0.5)
+}
+
 // Guards against entry instances that are cut off and go on with parts that others have been given meanwhile.
 func TestPartsOfInstancesOutOfTouch(t *testing.T) {
 	is := is.New(t)
@@ -187,7 +241,7 @@
 	limit, _ := testTerms.limit(organisation)
 	a := &Allotter{Terms: testTerms, Term: 1, Since: begun, Lease: testLease, Distrust: time.Second}
 	first, second := &wire.QuotaHolder{Name: "e", Incarnation: 1}, &wire.QuotaHolder{Name: "e", Incarnation: 2}
-	a.Follow(plan, []*wire.QuotaHolder{first})
+	a.Follow(plan, []*wire.QuotaHolder{first}, []string{"o"})
 	ask := func(now time.Time, who *wire.QuotaHolder, sequence uint64, wanted int64) int64 {
 		response, err := a.Allot(now, &wire.AllotRequest{
 			Holder: who, Sequence: sequence, Whole: true, Parts: []*wire.Part{{Organisation: "o", Wanted: wanted}},
@@ -196,7 +250,7 @@
 		return response.GetAllotments()[0].GetHeld()
 	}
 	is.Equal(ask(begun, first, 1, limit), limit)
-	a.Follow(plan, []*wire.QuotaHolder{first, second})
+	a.Follow(plan, []*wire.QuotaHolder{first, second}, []string{"o"})
 	now := begun.Add(time.Second)
 	is.Equal(ask(now, second, 1, limit), int64(0))
 	is.Equal(ask(now.Add(testTerms.Window-time.Second), second, 2, limit), int64(0))
@@ -211,7 +265,7 @@
 	is := is.New(t)
 	a := &Allotter{Terms: testTerms, Term: 1, Since: begun, Lease: testLease, Distrust: time.Second}
 	who := &wire.QuotaHolder{Name: "e", Incarnation: 1}
-	a.Follow(&wire.Plan{}, []*wire.QuotaHolder{who})
+	a.Follow(&wire.Plan{}, []*wire.QuotaHolder{who}, nil)
 	a.compare(begun, time.Millisecond, 3*time.Second)
 	_, err := a.Allot(begun, &wire.AllotRequest{Holder: who, Sequence: 1, Whole: true})
 	var suspended *SuspendedError
@@ -315,5 +369,13 @@
 		l.down = !l.down
 	case 4:
 		l.restart(now, s)
+	case 5:
+		if random.IntN(4) == 0 {
+			for _, s := range l.holders {
+				l.restart(now, s)
+			}
+			*term++
+			l.elect(now, *term)
+		}
 	}
 }
--- a/entry/internal/asker/asker.go
+++ b/entry/internal/asker/asker.go
@@ -22,7 +22,7 @@
 
 const (
 	// callTimeout is two round trips between regions and a controller's work; a lost packet costs one more call.
-	callTimeout = 500 * time.Millisecond
+	callTimeout = 400 * time.Millisecond
 	// pause is waited after a call that failed.
 	pause = 100 * time.Millisecond
 	// minGather and maxGather bound how long needs are gathered for one call.
@@ -30,8 +30,9 @@
 	maxGather = 100 * time.Millisecond
 	// lookEvery is how often parts are looked at that no request asks for.
 	lookEvery = 250 * time.Millisecond
-	// patience is how long a request waits for a part, and patienceParts the part of its time that it waits at most.
-	patience      = 600 * time.Millisecond
+	// minPatience is how long a request waits for a part at least: two calls. It waits longer while it can be on time, and for
+	// patienceParts of its time at most.
+	minPatience   = 300 * time.Millisecond
 	patienceParts = 4
 )
 
@@ -74,7 +75,7 @@
 		return err
 	}
 	a.client = client
-	a.holder.Self = a.Self
+	a.holder.Self, a.holder.Started = a.Self, time.Now()
 	a.answered, a.wake, a.done = make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
@@ -108,13 +109,14 @@
 }
 
 // Admit decides on a request of an organisation, after a moment where its quota has room that this instance does not hold.
-func (a *Asker) Admit(ctx context.Context, organisation string, deadline time.Time) quoter.Verdict {
+// Start is until when the request has to start to be on time.
+func (a *Asker) Admit(ctx context.Context, organisation string, start, deadline time.Time) quoter.Verdict {
 	now := time.Now()
 	v, answered := a.take(now, organisation, quoter.Verdict{})
 	if v.Outcome != quoter.Lacking && v.Outcome != quoter.Unknown {
 		return v
 	}
-	timer := time.NewTimer(min(patience, deadline.Sub(now)/patienceParts))
+	timer := time.NewTimer(min(max(minPatience, start.Sub(now)), deadline.Sub(now)/patienceParts))
 	defer timer.Stop()
 	for v.Outcome == quoter.Lacking || v.Outcome == quoter.Unknown {
 		select {
@@ -161,9 +163,14 @@
 			continue
 		}
 		rest := a.gather
-		if !a.ask(ctx) {
+		switch a.ask(ctx) {
+		case failed:
 			rest = pause
 			a.nudge()
+		case incomplete:
+			a.nudge()
+			continue
+		case complete:
 		}
 		select {
 		case <-ctx.Done():
@@ -180,11 +187,21 @@
 	return a.holder.Wants() || a.holder.Stale(time.Now())
 }
 
-// ask makes one call, and reports whether it was answered in full.
-func (a *Asker) ask(ctx context.Context) bool {
+// ending is how a call ended.
+type ending int
+
+const (
+	failed ending = iota
+	// incomplete: the controller wants to know everything that is held first.
+	incomplete
+	complete
+)
+
+// ask makes one call.
+func (a *Asker) ask(ctx context.Context) ending {
 	at, ok := a.Controllers.Controller()
 	if !ok {
-		return false
+		return failed
 	}
 	sent := time.Now()
 	a.mu.Lock()
@@ -201,13 +218,15 @@
 		a.holder.Answer(time.Now(), sent, response.Msg)
 	}
 	if err == nil && response.Msg.GetWhole() {
-		a.nudge()
-		return true
+		return incomplete
 	}
 	// Also after a call that failed those who wait have to say anew what they lack.
 	close(a.answered)
 	a.answered = make(chan struct{})
-	return err == nil
+	if err != nil {
+		return failed
+	}
+	return complete
 }
 
 // note logs where answers cease and where they come back.
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -58,7 +58,7 @@
 
 // Quotas decides on requests by their organisations' quotas.
 type Quotas interface {
-	Admit(ctx context.Context, organisation string, deadline time.Time) quoter.Verdict
+	Admit(ctx context.Context, organisation string, start, deadline time.Time) quoter.Verdict
 	Return(organisation string, v quoter.Verdict)
 }
 
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -95,8 +95,10 @@
 // unbounded grants every request.
 type unbounded struct{}
 
-func (unbounded) Admit(context.Context, string, time.Time) quoter.Verdict { return quoter.Verdict{} }
-func (unbounded) Return(string, quoter.Verdict)                           {}
+func (unbounded) Admit(context.Context, string, time.Time, time.Time) quoter.Verdict {
+	return quoter.Verdict{}
+}
+func (unbounded) Return(string, quoter.Verdict) {}
 
 func plan() *wire.Plan {
 	split := []*wire.Split{{Service: "listings", Weight: 1}}
--- a/entry/internal/carrier/organisation.go
+++ b/entry/internal/carrier/organisation.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -11,9 +12,15 @@
 	"chervilrail.example/core/quoter"
 )
 
-// regionsRetry is after what a caller is asked back whose request no region may serve: a change of the plan has to come
-// first.
-const regionsRetry = 5 * time.Second
+const (
+	// regionsRetry is after what a caller is asked back whose request no region may serve: a change of the plan has to come
+	// first.
+	regionsRetry = 5 * time.Second
+	// partsRetry is after what a caller is asked back where no controller gives parts of quotas: they agree on a leader by then.
+	partsRetry = time.Second
+	// quotaSpread is over what time refused callers return, so that they do not come all at once when there is room again.
+	quotaSpread = time.Second
+)
 
 // identify finds the organisation of a request and the regions that may serve it; a result other than nil ends the request.
 func (j *job) identify() *result {
@@ -39,17 +46,20 @@
 		return nil
 	}
 	name := j.organisation.GetName()
-	j.quota = c.Quotas.Admit(j.request.Context(), name, j.deadline)
+	warm, _ := c.routes.expected(j.route)
+	start := j.started.Add(time.Duration(j.route.GetAim()) - warm)
+	j.quota = c.Quotas.Admit(j.request.Context(), name, start, j.deadline)
 	if j.quota.Outcome == quoter.Granted {
 		return nil
 	}
 	_ = level.Info(c.Logger).Log("msg", "quota", "id", j.call.ID, "organisation", name, "outcome", j.quota.Outcome,
 		"rate", j.organisation.GetRate(), "burst", j.organisation.GetBurst(), "held", j.quota.Held, "used", j.quota.Used,
 		"age", time.Since(j.quota.Since))
-	out := refuse(http.StatusTooManyRequests, "quota", j.quota.Retry)
+	status, retry := http.StatusTooManyRequests, j.quota.Retry
 	if j.quota.Outcome != quoter.Exceeded {
-		out = refuse(http.StatusServiceUnavailable, "quota", time.Now().Add(retryPause))
+		status, retry = http.StatusServiceUnavailable, time.Now().Add(partsRetry)
 	}
+	out := refuse(status, "quota", retry.Add(rand.N(quotaSpread)))
 	return &out
 }
 
--- a/entry/internal/carrier/organisation_test.go
+++ b/entry/internal/carrier/organisation_test.go
@@ -27,7 +27,7 @@
 	returned int
 }
 
-func (m *meter) Admit(_ context.Context, organisation string, _ time.Time) quoter.Verdict {
+func (m *meter) Admit(_ context.Context, organisation string, _, _ time.Time) quoter.Verdict {
 	m.asked = append(m.asked, organisation)
 	return m.verdict
 }
--- a/standin/internal/trials/platform_test.go
+++ b/standin/internal/trials/platform_test.go
@@ -18,6 +18,9 @@
 
 const service = "listings"
 
+// refusedPause keeps callers whose organisation's quota is used up from doing nothing but being refused.
+const refusedPause = 10 * time.Millisecond
+
 // fleet is a running system that speaks the users' platform's language, with targets and callers around it.
 type fleet struct {
 	*starter.Routed
@@ -57,6 +60,11 @@
 
 // load sends requests from several callers until stopped, and returns all answers.
 func (f *fleet) load(callers int) (stop func() []speaker.Answer) {
+	return f.loadBy(callers, func(*speaker.Client) {})
+}
+
+// loadBy does the same with callers that are prepared first.
+func (f *fleet) loadBy(callers int, prepare func(c *speaker.Client)) (stop func() []speaker.Answer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var mu sync.Mutex
 	var all []speaker.Answer
@@ -64,6 +72,7 @@
 	for i := range callers {
 		group.Go(func() {
 			c := f.client(i)
+			prepare(c)
 			for n := 0; ctx.Err() == nil; n++ {
 				method, path := http.MethodGet, "/safe/"
 				if n%2 == 0 {
@@ -73,6 +82,9 @@
 				mu.Lock()
 				all = append(all, a)
 				mu.Unlock()
+				if a.Status == http.StatusTooManyRequests {
+					time.Sleep(refusedPause)
+				}
 			}
 		})
 	}
