Small parts of quotas are held by one entry instance of a region for all

Change: where a quota has less than a few requests for each entry instance, one instance of each region (rendezvous, as for objects) holds the region's part and counts for the others, in a call within the region; another takes over from one that does not answer.

--- a/core/quoter/allotter.go
+++ b/core/quoter/allotter.go
@@ -18,9 +18,6 @@
 	tightPart = 0.92
 	// relaxPart is the part of the usual part below which an organisation is stretched no longer.
 	relaxPart = 0.9
-	// evenPart is the part of the usual part that is spread evenly over all holders before they need it: what they have then
-	// serves their first requests while no leader can be reached.
-	evenPart = 0.5
 	// soonRetry is after what a holder asks again while other holders are not known yet: they report within a few calls.
 	soonRetry = 150 * time.Millisecond
 	// shortParts is the part of a window after which a holder that got too little asks again: a tenth.
@@ -300,8 +297,7 @@
 	free, wanted := a.free(name, q), max(0, p.GetWanted())
 	given := min(free, wanted)
 	if room := int64(aheadPart*float64(q.usual())) - q.sum - given; room > 0 && len(a.unknown) == 0 {
-		ahead := max(p.GetAhead(), a.even(q)-p.GetHeld()-given)
-		given += min(room, free-given, max(0, ahead))
+		given += min(room, free-given, max(0, p.GetAhead()))
 	}
 	held := max(0, p.GetHeld()) + given
 	if given > 0 {
@@ -322,11 +318,6 @@
 	return out
 }
 
-// even is what each holder gets before it needs it.
-func (a *Allotter) even(q *quota) int64 {
-	return int64(evenPart * float64(q.usual()) / float64(max(1, len(a.latest))))
-}
-
 // awaits is how long it takes until the last holder is known or holds nothing, if that can be told: those that still run
 // report sooner.
 func (a *Allotter) awaits(now time.Time) time.Duration {
--- a/core/quoter/holder.go
+++ b/core/quoter/holder.go
@@ -8,10 +8,18 @@
 )
 
 const (
+	// directLeast is the part in requests per window from which on each entry instance holds its own. Below it one of a region
+	// holds the region's: split into parts of less than a few requests, a quota lies where nobody asks for it.
+	directLeast = 4
+	// evenPart is the part of the usual part that is held before it is needed, spread evenly: what is held then serves the first
+	// requests while no leader can be reached.
+	evenPart = 0.75
 	// spareParts: a holder likes to have half of what it uses at hand beyond that, and one at least.
 	spareParts = 2
 	// renewEvery is how often parts are renewed without need.
 	renewEvery = time.Second
+	// returnEvery is how often what others lack is given back.
+	returnEvery = 200 * time.Millisecond
 	// unknownRetry is after what a caller is asked back whose organisation's quota nobody can tell.
 	unknownRetry = 500 * time.Millisecond
 )
@@ -54,8 +62,10 @@
 	Held  int64
 	Used  int64
 	Since time.Time
-	// at is when the request was counted, zero if it was not.
-	at time.Time
+	// At is when the request was counted, zero if it was not.
+	At time.Time
+	// Peer is the entry instance that decided, empty for this one.
+	Peer string
 	// asking is the sequence of the request that asks for it.
 	asking uint64
 }
@@ -68,6 +78,7 @@
 	Started time.Time
 
 	window   time.Duration
+	fleet    Fleet
 	parts    map[string]*part
 	sequence uint64
 	term     uint64
@@ -81,6 +92,42 @@
 	origin  time.Time
 }
 
+// Fleet is what a holder knows of the entry instances among which quotas are shared.
+type Fleet struct {
+	// All is how many there are, Near how many of them are of this one's region.
+	All  int
+	Near int
+	// Owns tells for which organisations this one holds the region's part.
+	Owns func(organisation string) bool
+}
+
+// Share fits the parts to the entry instances there are.
+func (h *Holder) Share(f Fleet) {
+	h.fleet = f
+	for name, p := range h.parts {
+		h.assign(name, p)
+	}
+}
+
+// assign decides who holds an organisation's part here: each instance its own, or one the whole region's.
+func (h *Holder) assign(name string, p *part) {
+	usual := usualPart * (p.rate*h.window.Seconds() + p.burst)
+	all := float64(max(1, h.fleet.All))
+	p.pooled = usual < directLeast*all
+	p.own = !p.pooled || h.fleet.Owns == nil || h.fleet.Owns(name)
+	holders := all
+	if p.pooled {
+		holders = all / float64(max(1, h.fleet.Near))
+	}
+	p.even = int64(evenPart * usual / holders)
+}
+
+// Pooled reports whether one instance of the region holds an organisation's part for all.
+func (h *Holder) Pooled(organisation string) bool {
+	p, ok := h.parts[organisation]
+	return ok && p.pooled
+}
+
 // part is what is held of one organisation's quota.
 type part struct {
 	// rate and burst are the whole quota's.
@@ -91,9 +138,16 @@
 	wanted int64
 	// asked is the sequence of the last request that reported this part, 0 if its answer no longer fits.
 	asked uint64
+	// reported is the use that was reported then.
+	reported int64
 	// dirty: the allotting side does not know yet what is held.
 	dirty bool
 	tight bool
+	// pooled: one instance of the region holds the part of all; own: this one holds a part. even is what it likes to hold
+	// before any of it is used.
+	pooled bool
+	own    bool
+	even   int64
 	// shortUntil is until when no more is asked for, roomAt when there is room again as far as that is known.
 	shortUntil time.Time
 	roomAt     time.Time
@@ -114,6 +168,7 @@
 			p = h.newPart()
 		}
 		p.resize(h.window, o.GetRate(), o.GetBurst())
+		h.assign(o.GetName(), p)
 		next[o.GetName()] = p
 	}
 	h.parts = next
@@ -146,7 +201,7 @@
 	case !h.valid(now):
 		out.Outcome, out.Retry = Unknown, now.Add(unknownRetry)
 	case p.used.Take(now, p.held, 1):
-		out.at = now
+		out.At = now
 		return out
 	case now.Before(p.shortUntil):
 		out.Outcome, out.Retry = Exceeded, p.room(now)
@@ -175,8 +230,8 @@
 
 // Return takes back a request that was counted and has not run.
 func (h *Holder) Return(now time.Time, organisation string, v Verdict) {
-	if p, ok := h.parts[organisation]; ok && !v.at.IsZero() {
-		p.used.Return(now, v.at, 1)
+	if p, ok := h.parts[organisation]; ok && !v.At.IsZero() {
+		p.used.Return(now, v.At, 1)
 	}
 }
 
@@ -217,7 +272,7 @@
 			ahead = p.ahead(used)
 		}
 		if p.dirty || p.wanted > 0 || ahead > 0 || h.whole && p.held+used > 0 {
-			p.asked = h.sequence
+			p.asked, p.reported = h.sequence, used
 			out.Parts = append(out.Parts, &wire.Part{
 				Organisation: name, Held: p.held, Used: used, Wanted: p.wanted, Ahead: ahead,
 			})
@@ -238,17 +293,23 @@
 // lower gives back half of what is not used, where others lack it. Given back at once by all holders, it would be missing at
 // them a moment later.
 func (p *part) lower(used int64) {
-	if idle := p.held - used; p.tight && idle > 0 {
+	idle := p.held - used
+	switch {
+	case idle <= 0:
+		return
+	case !p.own:
+		p.held, p.dirty = used, true
+	case p.tight:
 		p.held, p.dirty = p.held-(idle+1)/2, true
 	}
 }
 
 // ahead is what the holder would like to have more.
 func (p *part) ahead(used int64) int64 {
-	if p.tight {
+	if p.tight || !p.own {
 		return 0
 	}
-	return max(0, used+spare(used)-p.held)
+	return max(0, max(p.even, used+spare(used))-p.held)
 }
 
 func spare(used int64) int64 { return max(1, used/spareParts) }
@@ -271,7 +332,8 @@
 		}
 		p.tight = a.GetTight()
 		if p.asked == h.sequence {
-			p.held, p.dirty = a.GetHeld(), false
+			// What was used beyond the part counts as held by the other side until it hears that it has left the window.
+			p.held, p.dirty = a.GetHeld(), p.reported > a.GetHeld()
 		}
 		if a.GetShort() {
 			p.shortUntil, p.roomAt = now.Add(time.Duration(a.GetRetry())), now.Add(time.Duration(a.GetRoom()))
@@ -285,14 +347,27 @@
 		return
 	}
 	h.window = window
-	for _, p := range h.parts {
+	for name, p := range h.parts {
 		p.used = limiter.Window{Origin: h.origin, Length: window}
+		h.assign(name, p)
 	}
 }
 
-// Stale reports whether the parts should be renewed.
+// Stale reports whether a request is due that nobody waits for: the parts should be renewed, or others lack what is held here.
 func (h *Holder) Stale(now time.Time) bool {
-	return len(h.parts) > 0 && now.Sub(h.granted) >= renewEvery
+	age := now.Sub(h.granted)
+	if len(h.parts) == 0 || age < returnEvery {
+		return false
+	}
+	if age >= renewEvery {
+		return true
+	}
+	for _, p := range h.parts {
+		if used := p.used.Used(now); (p.tight || !p.own) && p.held > used || p.dirty && p.reported > used {
+			return true
+		}
+	}
+	return false
 }
 
 // Limited reports whether an organisation has a quota.
--- a/core/quoter/leased_test.go
+++ b/core/quoter/leased_test.go
@@ -1,8 +1,10 @@
 package quoter
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"chervilrail.example/core/keeper"
@@ -31,6 +33,30 @@
 	down bool
 	// lose tells whether a message is lost.
 	lose func() bool
+	// regions is in how many regions the instances are, 0 where each holds its own part of everything.
+	regions int
+}
+
+// pool makes one instance of each region hold the region's parts of small quotas.
+func (l *leased) pool(regions int) *leased {
+	l.regions = regions
+	for i, s := range l.holders {
+		s.holder.Share(l.fleet(i))
+	}
+	return l
+}
+
+func (l *leased) fleet(instance int) Fleet {
+	return Fleet{
+		All: len(l.holders), Near: len(l.holders) / l.regions,
+		Owns: func(organisation string) bool { return l.owner(instance, organisation) == instance },
+	}
+}
+
+// owner is the instance of the same region that holds an organisation's part.
+func (l *leased) owner(instance int, organisation string) int {
+	near := len(l.holders) / l.regions
+	return instance%l.regions + l.regions*int(xxhash.Sum64String(organisation)%uint64(near))
 }
 
 // seat is one entry instance with its call on the way.
@@ -96,6 +122,9 @@
 
 func (l *leased) admit(now time.Time, instance, organisation int, done func(granted bool)) {
 	s := l.holders[instance]
+	if name := l.plan.GetOrganisations()[organisation].GetName(); l.regions > 0 && s.holder.Pooled(name) {
+		s = l.holders[l.owner(instance, name)]
+	}
 	switch v := s.holder.Take(now, l.plan.GetOrganisations()[organisation].GetName(), Verdict{}); v.Outcome {
 	case Granted:
 		done(true)
@@ -171,6 +200,9 @@
 		Name: s.holder.Self.GetName(), Incarnation: s.holder.Self.GetIncarnation() + 1,
 	}}
 	s.holder.Follow(now, l.plan)
+	if l.regions > 0 {
+		s.holder.Share(l.fleet(slices.Index(l.holders, s)))
+	}
 	s.busy, s.answer, s.waiting = false, nil, nil
 	l.listed = append(l.listed, s.holder.Self)
 	l.allotter.Follow(l.plan, l.listed, l.state.Stretched())
--- a/core/wire/wireconnect/wire.connect.go
+++ b/core/wire/wireconnect/wire.connect.go
@@ -72,6 +72,8 @@
 	ExchangeAllotProcedure = "/chervilrail.wire.Exchange/Allot"
 	// PlacementPlaceProcedure is the fully-qualified name of the Placement's Place RPC.
 	PlacementPlaceProcedure = "/chervilrail.wire.Placement/Place"
+	// PlacementSpendProcedure is the fully-qualified name of the Placement's Spend RPC.
+	PlacementSpendProcedure = "/chervilrail.wire.Placement/Spend"
 )
 
 // ReplicasClient is a client for the chervilrail.wire.Replicas service.
@@ -635,6 +637,7 @@
 // PlacementClient is a client for the chervilrail.wire.Placement service.
 type PlacementClient interface {
 	Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error)
+	Spend(context.Context, *connect.Request[wire.SpendRequest]) (*connect.Response[wire.SpendResponse], error)
 }
 
 // NewPlacementClient constructs a client for the chervilrail.wire.Placement service. By default, it
@@ -654,12 +657,19 @@
 			connect.WithSchema(placementMethods.ByName("Place")),
 			connect.WithClientOptions(opts...),
 		),
+		spend: connect.NewClient[wire.SpendRequest, wire.SpendResponse](
+			httpClient,
+			baseURL+PlacementSpendProcedure,
+			connect.WithSchema(placementMethods.ByName("Spend")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // placementClient implements PlacementClient.
 type placementClient struct {
 	place *connect.Client[wire.PlaceRequest, wire.PlaceResponse]
+	spend *connect.Client[wire.SpendRequest, wire.SpendResponse]
 }
 
 // Place calls chervilrail.wire.Placement.Place.
@@ -667,9 +677,15 @@
 	return c.place.CallUnary(ctx, req)
 }
 
+// Spend calls chervilrail.wire.Placement.Spend.
+func (c *placementClient) Spend(ctx context.Context, req *connect.Request[wire.SpendRequest]) (*connect.Response[wire.SpendResponse], error) {
+	return c.spend.CallUnary(ctx, req)
+}
+
 // PlacementHandler is an implementation of the chervilrail.wire.Placement service.
 type PlacementHandler interface {
 	Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error)
+	Spend(context.Context, *connect.Request[wire.SpendRequest]) (*connect.Response[wire.SpendResponse], error)
 }
 
 // NewPlacementHandler builds an HTTP handler from the service implementation. It returns the path
@@ -685,10 +701,18 @@
 		connect.WithSchema(placementMethods.ByName("Place")),
 		connect.WithHandlerOptions(opts...),
 	)
+	placementSpendHandler := connect.NewUnaryHandler(
+		PlacementSpendProcedure,
+		svc.Spend,
+		connect.WithSchema(placementMethods.ByName("Spend")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/chervilrail.wire.Placement/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PlacementPlaceProcedure:
 			placementPlaceHandler.ServeHTTP(w, r)
+		case PlacementSpendProcedure:
+			placementSpendHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -701,3 +725,7 @@
 func (UnimplementedPlacementHandler) Place(context.Context, *connect.Request[wire.PlaceRequest]) (*connect.Response[wire.PlaceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilrail.wire.Placement.Place is not implemented"))
 }
+
+func (UnimplementedPlacementHandler) Spend(context.Context, *connect.Request[wire.SpendRequest]) (*connect.Response[wire.SpendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chervilrail.wire.Placement.Spend is not implemented"))
+}
--- /dev/null
+++ b/entry/internal/asker/asker_test.go
@@ -0,0 +1,196 @@
+package asker
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/dialer"
+	"chervilrail.example/core/planner"
+	"chervilrail.example/core/quoter"
+	"chervilrail.example/core/wire"
+	"chervilrail.example/core/wire/wireconnect"
+	"chervilrail.example/entry/internal/locator"
+	"chervilrail.example/entry/internal/watcher"
+)
+
+const window = 5 * time.Second
+
+// controller gives parts of quotas as a leader does, or fails.
+type controller struct {
+	wireconnect.UnimplementedExchangeHandler
+	mu       sync.Mutex
+	allotter quoter.Allotter
+	failing  bool
+}
+
+func (c *controller) Allot(
+	_ context.Context, r *connect.Request[wire.AllotRequest],
+) (*connect.Response[wire.AllotResponse], error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failing {
+		return nil, connect.NewError(connect.CodeUnavailable, &quoter.SuspendedError{})
+	}
+	response, err := c.allotter.Allot(time.Now(), r.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (c *controller) fail(failing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failing = failing
+}
+
+// region is two entry instances that reach each other and one controller.
+type region struct {
+	controller *controller
+	address    netip.AddrPort
+	askers     map[string]*Asker
+	dead       map[string]bool
+	peers      []locator.Peer
+}
+
+func (r *region) Controller() (netip.AddrPort, bool) { return r.address, true }
+
+func (r *region) Owner(peers []locator.Peer, _ uint64) locator.Peer {
+	for _, p := range peers {
+		if !r.dead[p.Name] {
+			return p
+		}
+	}
+	return locator.Peer{}
+}
+
+func (r *region) Ask(ctx context.Context, owner locator.Peer, s *wire.SpendRequest) (*wire.SpendResponse, error) {
+	if owner.Name == "frozen" {
+		r.dead[owner.Name] = true
+		return nil, &quoter.SuspendedError{}
+	}
+	return r.askers[owner.Name].Spend(ctx, s), nil
+}
+
+func plan() *wire.Plan {
+	rate := 4.0
+	return &wire.Plan{Version: 1, Organisations: []*wire.Organisation{{Name: "acme", Rate: &rate}}}
+}
+
+func begin(t *testing.T, peers ...string) *region {
+	t.Helper()
+	c := &controller{allotter: quoter.Allotter{
+		Terms: quoter.Terms{Window: window}, Term: 1, Since: time.Now(), Lease: time.Minute, Distrust: time.Second,
+	}}
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewExchangeHandler(c))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	r := &region{
+		controller: c, address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+		askers: map[string]*Asker{}, dead: map[string]bool{},
+	}
+	var listed []*wire.QuotaHolder
+	for _, name := range peers {
+		r.peers = append(r.peers, locator.Peer{Name: name})
+		listed = append(listed, &wire.QuotaHolder{Name: name, Incarnation: 1})
+	}
+	c.allotter.Follow(plan(), listed, []string{"acme"})
+	for i, name := range peers {
+		a := &Asker{
+			Self: listed[i], Controllers: r, Peers: r, Dialer: &dialer.Dialer{Plain: true}, Logger: log.NewNopLogger(),
+		}
+		r.askers[name] = a
+		c.allotter.New(listed[i])
+		if name == "frozen" {
+			continue
+		}
+		is.New(t).NoErr(a.Start(context.Background(), nil))
+		t.Cleanup(func() { is.New(t).NoErr(a.Stop(context.Background())) })
+		a.Follow(time.Now(), r.view(plan()))
+	}
+	return r
+}
+
+// view is one in which there are so many entry instances that the region holds its part at one of them.
+func (r *region) view(p *wire.Plan) *watcher.View {
+	return &watcher.View{Table: planner.NewTable(p), Entries: 100, Peers: r.peers}
+}
+
+func (r *region) admit(name string) quoter.Verdict {
+	now := time.Now()
+	return r.askers[name].Admit(context.Background(), "acme", now.Add(time.Second), now.Add(10*time.Second))
+}
+
+// Guards against instances that each hold a part of a quota too small for one request, and against more than the quota.
+func TestOneInstanceCountsForTheRegion(t *testing.T) {
+	is := is.New(t)
+	r := begin(t, "a", "b")
+	granted := 0
+	for i := range 30 {
+		v := r.admit([]string{"a", "b"}[i%2])
+		if v.Outcome == quoter.Granted {
+			granted++
+			is.Equal(v.Peer, []string{"", "a"}[i%2])
+			continue
+		}
+		is.Equal(v.Outcome, quoter.Exceeded)
+		is.True(v.Retry.After(time.Now()))
+	}
+	is.Equal(granted, 20) // four a second for five seconds
+}
+
+// Guards against requests that are refused because the instance that counts for the region does not answer.
+func TestAnotherInstanceTakesOver(t *testing.T) {
+	is := is.New(t)
+	r := begin(t, "frozen", "b")
+	v := r.admit("b")
+	is.Equal(v.Outcome, quoter.Granted)
+	is.Equal(v.Peer, "")
+}
+
+// Guards against requests that are let through uncounted by an instance that does not know their organisation yet.
+func TestAnUnknownOrganisationIsNotGranted(t *testing.T) {
+	is := is.New(t)
+	r := begin(t, "a", "b")
+	older := plan()
+	older.Organisations = nil
+	r.askers["a"].Follow(time.Now(), r.view(older))
+	v := r.admit("b")
+	is.True(v.Outcome != quoter.Granted)
+}
+
+// Guards against a quota that is spent by requests which have not run.
+func TestWhatHasNotRunGoesBackToWhereItWasCounted(t *testing.T) {
+	is := is.New(t)
+	r := begin(t, "a", "b")
+	for range 20 {
+		is.Equal(r.admit("a").Outcome, quoter.Granted)
+	}
+	last := quoter.Verdict{At: time.Now(), Peer: "a"}
+	r.askers["b"].Return("acme", last)
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(r.admit("b").Outcome, quoter.Granted)
+	is.Equal(r.admit("b").Outcome, quoter.Exceeded)
+}
+
+// Guards against requests that are refused at once while no controller answers for a moment.
+func TestRequestsWaitForAController(t *testing.T) {
+	is := is.New(t)
+	r := begin(t, "a", "b")
+	r.controller.fail(true)
+	time.AfterFunc(400*time.Millisecond, func() { r.controller.fail(false) })
+	for range 20 {
+		is.Equal(r.admit("b").Outcome, quoter.Granted)
+	}
+}
--- a/entry/internal/cli/routed.go
+++ b/entry/internal/cli/routed.go
@@ -75,8 +75,9 @@
 	}
 	p.asker = &asker.Asker{
 		Self:        &wire.QuotaHolder{Name: settings.Name, Incarnation: rand.Uint64()},
-		Controllers: p.watcher, Dialer: &dialer.Dialer{Plain: true}, Logger: p.logger,
+		Controllers: p.watcher, Peers: p.locator, Dialer: &dialer.Dialer{Plain: true}, Logger: p.logger,
 	}
+	p.locator.Spender = p.asker
 	p.carrier.Locator, p.carrier.Quotas = p.locator, p.asker
 	p.watcher.Changed, p.watcher.Hosts, p.watcher.Loads = p.follow, p.carrier.Remember, p.carrier.Hear
 	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, serve: settings.Answer, logger: p.logger}
@@ -85,7 +86,7 @@
 
 // follow puts a new view in force.
 func (p *routed) follow(v *watcher.View) {
-	p.asker.Follow(time.Now(), v.Table.Plan)
+	p.asker.Follow(time.Now(), v)
 	p.carrier.Follow(v)
 }
 
--- a/entry/internal/locator/locator.go
+++ b/entry/internal/locator/locator.go
@@ -26,6 +26,10 @@
 	// answerTimeout is many times what an instance of the same region takes to answer. One that takes longer is frozen
 	// or cut off, and the request has better use for its time.
 	answerTimeout = 100 * time.Millisecond
+	// spendTimeout is the same where the other instance may have to ask a controller first; it answers within SpendWithin.
+	spendTimeout = 350 * time.Millisecond
+	// SpendWithin is how long a request of another instance waits for a part of a quota; it comes again then.
+	SpendWithin = 150 * time.Millisecond
 	// shun is how long an instance that did not answer is not asked again. Each question to it holds up a request.
 	shun = time.Second
 )
@@ -41,11 +45,17 @@
 	Assign(now time.Time, service string, ask placer.Ask) placer.Place
 }
 
+// Spender counts requests of organisations whose parts this instance keeps for its region.
+type Spender interface {
+	Spend(ctx context.Context, r *wire.SpendRequest) *wire.SpendResponse
+}
+
 // Locator asks other instances and answers them. Set the exported fields before Start.
 type Locator struct {
 	Self     string
 	Dialer   *dialer.Dialer
 	Assigner Assigner
+	Spender  Spender
 	Logger   log.Logger
 
 	client *http.Client
@@ -84,6 +94,9 @@
 	return l.owner(time.Now(), peers, object).Name == l.Self
 }
 
+// Owner returns the instance that answers for an object, of those that are not known to be out of reach.
+func (l *Locator) Owner(peers []Peer, object uint64) Peer { return l.owner(time.Now(), peers, object) }
+
 // owner returns the instance that answers for an object.
 func (l *Locator) owner(now time.Time, peers []Peer, object uint64) Peer {
 	best, most, key := Peer{Name: l.Self}, uint64(0), strconv.FormatUint(object, 16)
@@ -160,6 +173,26 @@
 	}), nil
 }
 
+// Ask has another instance count a request, or take one back.
+func (l *Locator) Ask(ctx context.Context, owner Peer, r *wire.SpendRequest) (*wire.SpendResponse, error) {
+	now := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
+	defer cancel()
+	response, err := wireconnect.NewPlacementClient(l.client, l.Dialer.URL(owner.Address)).Spend(ctx, connect.NewRequest(r))
+	if err != nil {
+		l.leaveOut(now, owner, err)
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// Spend answers another instance.
+func (l *Locator) Spend(
+	ctx context.Context, r *connect.Request[wire.SpendRequest],
+) (*connect.Response[wire.SpendResponse], error) {
+	return connect.NewResponse(l.Spender.Spend(ctx, r.Msg)), nil
+}
+
 func warming(now time.Time, place placer.Place) time.Duration {
 	if place.WarmAt.IsZero() {
 		return 0
