Organisations that one leader stretches twice keep the rest of their quotas

Cause: proposals to stretch follow each other every 50 ms, so most organisations are in two of them; the second one, which changed nothing, took away the mark that this leader stretched them first, and it gave out nothing until all holders were known.

TestStretchedTwiceByOneLeader fails without the change.

--- a/core/quoter/allotter.go
+++ b/core/quoter/allotter.go
@@ -370,7 +370,6 @@
 	for _, name := range c.GetOrganisations() {
 		delete(a.stretching, name)
 		delete(a.relaxing, name)
-		delete(a.fresh, name)
 	}
 	for _, name := range changed {
 		a.fresh[name] = c.GetOn()
--- a/core/quoter/quoter_test.go
+++ b/core/quoter/quoter_test.go
@@ -183,6 +183,36 @@
 	is.True(got.after < 0.5)
 }
 
+// Guards against a new leader that gives out nothing because the same organisations were stretched twice in a row.
+func TestStretchedTwiceByOneLeader(t *testing.T) {
+	is := is.New(t)
+	rate := 100.0
+	plan := &wire.Plan{Organisations: []*wire.Organisation{{Name: "o", Rate: &rate}}}
+	lost, here := &wire.QuotaHolder{Name: "lost", Incarnation: 1}, &wire.QuotaHolder{Name: "here", Incarnation: 1}
+	a := &Allotter{Terms: testTerms, Term: 1, Since: begun, Lease: testLease, Distrust: time.Second}
+	a.Follow(plan, []*wire.QuotaHolder{lost, here}, nil)
+	ask := func(sequence uint64) int64 {
+		response, err := a.Allot(begun, &wire.AllotRequest{
+			Holder: here, Sequence: sequence, Whole: true, Parts: []*wire.Part{{Organisation: "o", Wanted: 1}},
+		})
+		is.NoErr(err)
+		return response.GetAllotments()[0].GetHeld()
+	}
+	is.Equal(ask(1), int64(0))
+	is.Equal(a.Stretching(), []string{"o"})
+	change := &wire.StretchChange{Organisations: []string{"o"}, On: true}
+	a.Follow(plan, []*wire.QuotaHolder{lost, here}, []string{"o"})
+	a.Stretched(change, []string{"o"})
+	a.Stretched(change, nil)
+	is.Equal(ask(2), int64(1))
+	// Another leader does not know how much of the rest was given out.
+	other := &Allotter{Terms: testTerms, Term: 2, Since: begun, Lease: testLease, Distrust: time.Second}
+	other.Follow(plan, []*wire.QuotaHolder{lost, here}, []string{"o"})
+	other.Stretched(change, nil)
+	a = other
+	is.Equal(ask(3), int64(0))
+}
+
 // Guards against entry instances that are cut off and go on with parts that others have been given meanwhile.
 func TestPartsOfInstancesOutOfTouch(t *testing.T) {
 	is := is.New(t)
