--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -143,6 +143,9 @@
 	start := time.Now()
 	ctx, cancel := j.context()
 	defer cancel()
+	warm, cold := c.routes.expected(j.route)
+	stay := c.overdue.begin(start, t.Name, warm, cold)
+	defer c.overdue.end(stay)
 	answer, how, err := c.Sender.Send(ctx, t.Address, c.outgoing(j, t, start))
 	if how != pooler.Unsent {
 		j.sends++
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -77,9 +77,12 @@
 	Logger     log.Logger
 	Metrics    *Metrics
 
-	mu       sync.Mutex
-	gates    map[string]*gate
-	routes   routes
+	mu      sync.Mutex
+	gates   map[string]*gate
+	routes  routes
+	overdue overdue
+	// counted is the plan whose organisations the metrics name.
+	counted  *wire.Plan
 	stopping atomic.Bool
 	running  atomic.Int64
 	cancel   context.CancelFunc
@@ -147,6 +150,9 @@
 			g.tick(now)
 			c.balance(now, service, g)
 		}
+		for _, r := range c.overdue.due(now) {
+			c.Views.Observe(r)
+		}
 		if now.After(sweepAt) {
 			sweepAt = now.Add(sweepEvery)
 			c.Sender.Sweep(now)
@@ -186,6 +192,10 @@
 func (c *Carrier) Follow(v *watcher.View) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.counted != v.Table.Plan {
+		c.counted = v.Table.Plan
+		c.Metrics.follow(c.counted)
+	}
 	for name := range v.Targets {
 		if _, ok := c.gates[name]; !ok {
 			c.gates[name] = newGate(c.Region, c.Zone)
--- a/entry/internal/carrier/metrics.go
+++ b/entry/internal/carrier/metrics.go
@@ -1,10 +1,15 @@
 package carrier
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilrail.example/core/wire"
 )
 
 // Metrics counts requests by service, status and reason, and objects that were placed.
@@ -13,8 +18,17 @@
 	seconds  *prometheus.HistogramVec
 	waits    *prometheus.HistogramVec
 	placed   *prometheus.CounterVec
+	// organisations counts by organisation; named are those that have a label of their own.
+	organisations *prometheus.CounterVec
+	named         atomic.Pointer[map[string]bool]
 }
 
+const (
+	// maxNamed bounds the organisations with a label of their own: the largest by rate. The rest counts as one.
+	maxNamed = 32
+	others   = "others"
+)
+
 // NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	buckets := []float64{.005, .025, .05, .1, .2, .3, .5, .8, 1.2, 2, 4, 8}
@@ -33,12 +47,40 @@
 			Namespace: "chervilrail_entry", Name: "objects_placed_total", Help: "Objects placed or moved by service and reason.",
 		}, []string{"service", "reason"}),
 	}
-	r.MustRegister(m.requests, m.seconds, m.waits, m.placed)
+	m.organisations = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "chervilrail_entry", Name: "organisation_requests_total",
+		Help: "Requests by organisation and status; the largest organisations by name, the rest as others.",
+	}, []string{"organisation", "status"})
+	r.MustRegister(m.requests, m.seconds, m.waits, m.placed, m.organisations)
 	return m
 }
 
+// follow gives the largest organisations of a plan labels of their own.
+func (m *Metrics) follow(plan *wire.Plan) {
+	list := slices.Clone(plan.GetOrganisations())
+	slices.SortFunc(list, func(a, b *wire.Organisation) int {
+		return cmp.Or(cmp.Compare(b.GetRate(), a.GetRate()), cmp.Compare(a.GetName(), b.GetName()))
+	})
+	named := map[string]bool{}
+	for _, o := range list[:min(maxNamed, len(list))] {
+		named[o.GetName()] = true
+	}
+	m.named.Store(&named)
+}
+
+// organisation is the label of an organisation, empty where none is known.
+func (m *Metrics) organisation(name string) string {
+	if named := m.named.Load(); name == "" || named != nil && (*named)[name] {
+		return name
+	}
+	return others
+}
+
 func (m *Metrics) ended(j *job, out result, took time.Duration) {
 	m.requests.WithLabelValues(j.service, strconv.Itoa(out.status), out.reason).Inc()
 	m.seconds.WithLabelValues(j.service).Observe(took.Seconds())
 	m.waits.WithLabelValues(j.service).Observe(j.waited.Seconds())
+	if label := m.organisation(j.organisation.GetName()); label != "" {
+		m.organisations.WithLabelValues(label, strconv.Itoa(out.status)).Inc()
+	}
 }
--- a/entry/internal/carrier/organisation_test.go
+++ b/entry/internal/carrier/organisation_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/planner"
@@ -140,6 +142,31 @@
 	is.Equal(s.sent[0].Header.Get(translator.HeaderTarget), "far")
 }
 
+// Guards against a metric for each of a hundred thousand organisations.
+func TestMetricsNameOnlyTheLargestOrganisations(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewRegistry()
+	m := NewMetrics(registry)
+	p := &wire.Plan{}
+	for i := range 1000 {
+		rate := float64(i)
+		p.Organisations = append(p.Organisations, &wire.Organisation{Name: strconv.Itoa(i), Rate: &rate})
+	}
+	m.follow(p)
+	for _, o := range p.GetOrganisations() {
+		m.ended(&job{organisation: o}, refuse(http.StatusOK, "answered", time.Time{}), 0)
+	}
+	families, err := registry.Gather()
+	is.NoErr(err)
+	for _, f := range families {
+		if strings.HasSuffix(f.GetName(), "organisation_requests_total") {
+			is.Equal(len(f.GetMetric()), maxNamed+1)
+		}
+	}
+	is.Equal(m.organisation("999"), "999")
+	is.Equal(m.organisation("1"), others)
+}
+
 // Guards against quotas that are spent by requests which have not run, and against refusals that say nothing of when to return.
 func TestQuotas(t *testing.T) {
 	later := time.Now().Add(time.Second)
