An instance that does not know an organisation yet is asked again after a pause

Cause, found in reading: it says at once that it does not know, and each waiting request then asked it hundreds of times a second until its time was up. The calls now pause for 20 ms.

--- a/entry/internal/asker/asker.go
+++ b/entry/internal/asker/asker.go
@@ -32,6 +32,8 @@
 	// minGather and maxGather bound how long needs are gathered for one call.
 	minGather = 20 * time.Millisecond
 	maxGather = 100 * time.Millisecond
+	// again is after what another instance is asked again.
+	again = 20 * time.Millisecond
 	// lookEvery is how often parts are looked at that no request asks for.
 	lookEvery = 250 * time.Millisecond
 	// minPatience is how long a request waits for a part at least: two calls. It waits longer while it can be on time, and for
@@ -149,8 +151,14 @@
 		if err == nil && v.Outcome != quoter.Lacking && v.Outcome != quoter.Unknown {
 			return v
 		}
-		// One that did not answer is left out, and another takes its place. One that lacks parts has waited already.
-		if !time.Now().Before(until) || ctx.Err() != nil {
+		// One that did not answer is left out, and another takes its place. One that lacks parts has waited already; one that
+		// does not know the organisation yet says so at once.
+		select {
+		case <-ctx.Done():
+			return v
+		case <-time.After(again):
+		}
+		if !time.Now().Before(until) {
 			return v
 		}
 	}
