An organisation that is relaxed gets no more, whatever is applied meanwhile

Cause, found in reading: a second proposal to stretch an organisation, applied after the leader had proposed to end that, took back the mark that keeps its parts within the usual part. What was given out until the end was applied would have passed what the next leader takes for the most that is held. TestAnOrganisationThatIsRelaxedGetsNoMore fails without the change.

--- a/core/quoter/allotter.go
+++ b/core/quoter/allotter.go
@@ -368,7 +368,10 @@
 // are those for which that was otherwise before.
 func (a *Allotter) Stretched(c *wire.StretchChange, changed []string) {
 	for _, name := range c.GetOrganisations() {
-		delete(a.stretching, name)
+		if c.GetOn() {
+			delete(a.stretching, name)
+			continue
+		}
 		delete(a.relaxing, name)
 	}
 	for _, name := range changed {
--- a/core/quoter/quoter_test.go
+++ b/core/quoter/quoter_test.go
@@ -213,6 +213,30 @@
 	is.Equal(ask(3), int64(0))
 }
 
+// Guards against an earlier change that stretches an organisation, and is applied after the leader has proposed to end that:
+// what is given out then passes what the next leader takes for the most.
+func TestAnOrganisationThatIsRelaxedGetsNoMore(t *testing.T) {
+	is := is.New(t)
+	rate := 100.0
+	plan := &wire.Plan{Organisations: []*wire.Organisation{{Name: "o", Rate: &rate}}}
+	limit, _ := testTerms.limit(plan.GetOrganisations()[0])
+	who := []*wire.QuotaHolder{{Name: "e", Incarnation: 1}}
+	a := &Allotter{Terms: testTerms, Term: 1, Since: begun, Lease: testLease, Distrust: time.Second}
+	a.Follow(plan, who, []string{"o"})
+	ask := func(sequence uint64, wanted int64) int64 {
+		response, err := a.Allot(begun, &wire.AllotRequest{
+			Holder: who[0], Sequence: sequence, Whole: true, Parts: []*wire.Part{{Organisation: "o", Wanted: wanted}},
+		})
+		is.NoErr(err)
+		return response.GetAllotments()[0].GetHeld()
+	}
+	is.Equal(ask(1, limit), limit)
+	is.Equal(ask(2, 1), int64(1))
+	is.Equal(a.Relaxing(), []string{"o"})
+	a.Stretched(&wire.StretchChange{Organisations: []string{"o"}, On: true}, nil)
+	is.True(ask(3, limit) < limit)
+}
+
 // Guards against entry instances that are cut off and go on with parts that others have been given meanwhile.
 func TestPartsOfInstancesOutOfTouch(t *testing.T) {
 	is := is.New(t)
