--- a/core/quoter/allotter.go
+++ b/core/quoter/allotter.go
@@ -1,8 +1,6 @@
 package quoter
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"chervilrail.example/core/wire"
@@ -16,17 +14,10 @@
 	// holders give back what they do not use.
 	aheadPart = 0.8
 	tightPart = 0.92
-	// relaxPart is the part of the usual part below which an organisation is stretched no longer.
-	relaxPart = 0.9
 	// soonRetry is after what a holder asks again while other holders are not known yet: they report within a few calls.
 	soonRetry = 150 * time.Millisecond
 	// shortParts is the part of a window after which a holder that got too little asks again: a tenth.
 	shortParts = 10
-	// stood is how far the time of day may run ahead of the steady clock between two looks; more shows that the process
-	// stood still.
-	stood = 200 * time.Millisecond
-	// endEvery is how often holders that are gone are looked for.
-	endEvery = 100 * time.Millisecond
 )
 
 // id names one run of an entry instance.
@@ -117,14 +108,6 @@
 	}
 }
 
-// mayHold is until when parts may be in use that were renewed at a time.
-func (a *Allotter) mayHold(at time.Time) time.Time {
-	return at.Add(a.Lease + a.Lease/driftParts + a.outlast())
-}
-
-// outlast is how long what a holder let through counts after its end.
-func (a *Allotter) outlast() time.Duration { return a.Window + a.Window/driftParts }
-
 func (a *Allotter) followQuotas(plan *wire.Plan) {
 	next := map[string]*quota{}
 	for _, o := range plan.GetOrganisations() {
@@ -162,69 +145,6 @@
 	}
 }
 
-// New tells that a holder was listed by this leader: nobody else can have given it any part.
-func (a *Allotter) New(h *wire.QuotaHolder) { delete(a.unknown, id{h.GetName(), h.GetIncarnation()}) }
-
-// Gone returns listed holders that another run of their name has followed, or that were not heard for long, and that hold
-// nothing any more.
-func (a *Allotter) Gone(now time.Time) []*wire.QuotaHolder {
-	a.look(now)
-	var out []*wire.QuotaHolder
-	for who, h := range a.listed {
-		if h.over {
-			out = append(out, &wire.QuotaHolder{Name: who.name, Incarnation: who.incarnation})
-		}
-	}
-	return out
-}
-
-// look notices that the process stood still, and ends the parts that can't be in use any more.
-func (a *Allotter) look(now time.Time) {
-	if !a.lookedAt.IsZero() {
-		a.compare(now, now.Sub(a.lookedAt), now.Round(0).Sub(a.lookedAt.Round(0)))
-	}
-	a.lookedAt = now
-	if now.Before(a.endAt) {
-		return
-	}
-	a.endAt = now.Add(endEvery)
-	for who, h := range a.listed {
-		if until := a.heldUntil(now, who, h); !until.IsZero() && !now.Before(until) {
-			a.drop(h)
-			h.over = true
-			delete(a.unknown, who)
-		}
-	}
-}
-
-// compare notices a process that stood still: its steady clock did, too, and the time of day went on.
-func (a *Allotter) compare(now time.Time, steady, day time.Duration) {
-	if day-steady > stood {
-		a.distrusted = now.Add(a.Distrust)
-	}
-}
-
-// heldUntil is until when a holder's parts may be in use, zero if it was listed and has not reported yet. One that another
-// run of its name has followed uses them no more, and what it let through leaves the window.
-func (a *Allotter) heldUntil(now time.Time, who id, h *holder) time.Time {
-	until, unknown := a.unknown[who]
-	if !unknown {
-		until = h.until
-	}
-	if a.latest[who.name] == who || h.followed {
-		return until
-	}
-	h.followed = true
-	if ended := now.Add(a.outlast()); until.IsZero() || ended.Before(until) {
-		until = ended
-	}
-	h.until = until
-	if unknown {
-		a.unknown[who] = until
-	}
-	return until
-}
-
 // Allot answers one request of a holder.
 func (a *Allotter) Allot(now time.Time, r *wire.AllotRequest) (*wire.AllotResponse, error) {
 	a.look(now)
@@ -262,22 +182,6 @@
 	return out, nil
 }
 
-// outrun ends the parts of earlier runs of a holder: its run has lasted so long already.
-func (a *Allotter) outrun(now time.Time, who id, age time.Duration) {
-	ended := now.Add(a.outlast() - max(0, age))
-	for other, h := range a.listed {
-		if other.name != who.name || other == who {
-			continue
-		}
-		if ended.Before(h.until) {
-			h.until = ended
-		}
-		if unknown, ok := a.unknown[other]; ok && ended.Before(unknown) {
-			a.unknown[other] = ended
-		}
-	}
-}
-
 // note takes the holder's word for what it holds: it ignores every answer to an earlier request, so that no larger part
 // can come into use after this report.
 func (a *Allotter) note(h *holder, r *wire.AllotRequest) {
@@ -318,21 +222,6 @@
 	return out
 }
 
-// awaits is how long it takes until the last holder is known or holds nothing, if that can be told: those that still run
-// report sooner.
-func (a *Allotter) awaits(now time.Time) time.Duration {
-	longest := time.Duration(0)
-	for who, until := range a.unknown {
-		if a.latest[who.name] != who {
-			longest = max(longest, until.Sub(now))
-		}
-	}
-	return longest
-}
-
-// whole reports whether the parts of an organisation may add up to its whole quota.
-func (a *Allotter) whole(name string) bool { return a.stretched[name] && !a.relaxing[name] }
-
 // free is how much more of a quota may be given out now.
 func (a *Allotter) free(name string, q *quota) int64 {
 	switch {
@@ -347,38 +236,6 @@
 	return max(0, q.usual()-q.sum)
 }
 
-// Stretching returns organisations whose parts have to be let add up to the whole quota, sorted.
-func (a *Allotter) Stretching() []string { return slices.Sorted(maps.Keys(a.stretching)) }
-
-// Relaxing returns organisations that need no more than the usual part again, sorted. From now on they get no more.
-func (a *Allotter) Relaxing() []string {
-	if len(a.unknown) > 0 {
-		return nil
-	}
-	for name := range a.stretched {
-		q, ok := a.quotas[name]
-		if !ok || float64(q.sum) < relaxPart*float64(q.usual()) {
-			a.relaxing[name] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(a.relaxing))
-}
-
-// Stretched tells that this leader has let the parts of organisations add up to their whole quotas, or ended that; changed
-// are those for which that was otherwise before.
-func (a *Allotter) Stretched(c *wire.StretchChange, changed []string) {
-	for _, name := range c.GetOrganisations() {
-		if c.GetOn() {
-			delete(a.stretching, name)
-			continue
-		}
-		delete(a.relaxing, name)
-	}
-	for _, name := range changed {
-		a.fresh[name] = c.GetOn()
-	}
-}
-
 func (a *Allotter) tight(q *quota) bool { return float64(q.sum) > tightPart*float64(q.usual()) }
 
 // callBack tells a holder of its parts of tight quotas that it did not mention.
--- a/core/quoter/holder.go
+++ b/core/quoter/holder.go
@@ -14,8 +14,6 @@
 	// evenPart is the part of the usual part that is held before it is needed, spread evenly: what is held then serves the first
 	// requests while no leader can be reached.
 	evenPart = 0.75
-	// spareParts: a holder likes to have half of what it uses at hand beyond that, and one at least.
-	spareParts = 2
 	// renewEvery is how often parts are renewed without need.
 	renewEvery = time.Second
 	// returnEvery is how often what others lack is given back.
@@ -24,52 +22,6 @@
 	unknownRetry = 500 * time.Millisecond
 )
 
-// Outcome is what becomes of a request that wants to count against a quota.
-type Outcome int
-
-const (
-	// Granted lets the request run; it is counted.
-	Granted Outcome = iota
-	// Lacking says that this holder's part is used up, but more may be had: it is worth asking and waiting a moment.
-	Lacking
-	// Exceeded says that the quota is used up.
-	Exceeded
-	// Unknown says that the holder's parts have run out and nobody renews them.
-	Unknown
-)
-
-// String writes the outcome for logs.
-func (o Outcome) String() string {
-	switch o {
-	case Granted:
-		return "granted"
-	case Lacking:
-		return "lacking"
-	case Exceeded:
-		return "exceeded"
-	case Unknown:
-		return "unknown"
-	}
-	return ""
-}
-
-// Verdict is the decision on one request, with what decided it.
-type Verdict struct {
-	Outcome Outcome
-	// Retry is when there may be room, where the quota is used up.
-	Retry time.Time
-	// Held is this holder's part, Used what of it is used, Since the time of the request that the part was given for.
-	Held  int64
-	Used  int64
-	Since time.Time
-	// At is when the request was counted, zero if it was not.
-	At time.Time
-	// Peer is the entry instance that decided, empty for this one.
-	Peer string
-	// asking is the sequence of the request that asks for it.
-	asking uint64
-}
-
 // Holder is the using side at one entry instance; it is for use under one lock. Set the exported fields before use.
 type Holder struct {
 	// Self names this run of the entry instance.
@@ -128,31 +80,6 @@
 	return ok && p.pooled
 }
 
-// part is what is held of one organisation's quota.
-type part struct {
-	// rate and burst are the whole quota's.
-	rate   float64
-	burst  float64
-	held   int64
-	used   limiter.Window
-	wanted int64
-	// asked is the sequence of the last request that reported this part, 0 if its answer no longer fits.
-	asked uint64
-	// reported is the use that was reported then.
-	reported int64
-	// dirty: the allotting side does not know yet what is held.
-	dirty bool
-	tight bool
-	// pooled: one instance of the region holds the part of all; own: this one holds a part. even is what it likes to hold
-	// before any of it is used.
-	pooled bool
-	own    bool
-	even   int64
-	// shortUntil is until when no more is asked for, roomAt when there is room again as far as that is known.
-	shortUntil time.Time
-	roomAt     time.Time
-}
-
 // Follow takes the organisations of a plan. Where a quota is lowered, this holder's part is lowered alike at once.
 func (h *Holder) Follow(now time.Time, plan *wire.Plan) {
 	if h.origin.IsZero() {
@@ -178,17 +105,6 @@
 	return &part{dirty: true, used: limiter.Window{Origin: h.origin, Length: h.window}}
 }
 
-// resize fits the part to a quota. An answer that is on its way was given for the old one and must not raise it again.
-func (p *part) resize(window time.Duration, rate, burst float64) {
-	before, after := p.rate*window.Seconds()+p.burst, rate*window.Seconds()+burst
-	if after < before {
-		p.held = int64(float64(p.held) * after / before)
-		p.dirty = true
-		p.asked = 0
-	}
-	p.rate, p.burst = rate, burst
-}
-
 // Take counts a request of an organisation, if its quota allows that. Last is the verdict on the same request before, zero
 // if there was none.
 func (h *Holder) Take(now time.Time, organisation string, last Verdict) Verdict {
@@ -217,17 +133,6 @@
 	return out
 }
 
-// room is when there may be room again: when the oldest use leaves the window, or when more may be had.
-func (p *part) room(now time.Time) time.Time {
-	if free := p.used.Free(now); p.held > 0 && free.After(now) {
-		return free
-	}
-	if p.roomAt.After(p.shortUntil) {
-		return p.roomAt
-	}
-	return p.shortUntil
-}
-
 // Return takes back a request that was counted and has not run.
 func (h *Holder) Return(now time.Time, organisation string, v Verdict) {
 	if p, ok := h.parts[organisation]; ok && !v.At.IsZero() {
@@ -290,30 +195,6 @@
 	}
 }
 
-// lower gives back half of what is not used, where others lack it. Given back at once by all holders, it would be missing at
-// them a moment later.
-func (p *part) lower(used int64) {
-	idle := p.held - used
-	switch {
-	case idle <= 0:
-		return
-	case !p.own:
-		p.held, p.dirty = used, true
-	case p.tight:
-		p.held, p.dirty = p.held-(idle+1)/2, true
-	}
-}
-
-// ahead is what the holder would like to have more.
-func (p *part) ahead(used int64) int64 {
-	if p.tight || !p.own {
-		return 0
-	}
-	return max(0, max(p.even, used+spare(used))-p.held)
-}
-
-func spare(used int64) int64 { return max(1, used/spareParts) }
-
 // Answer takes the answer to the last request, which was sent at a time.
 func (h *Holder) Answer(now, sent time.Time, r *wire.AllotResponse) {
 	if r.GetTerm() < h.term {
--- a/core/quoter/quoter.go
+++ b/core/quoter/quoter.go
@@ -8,6 +8,9 @@
 // entry instances, the Holders. A holder lets through at most its part in any window, and gives back only what it has not
 // used in the window that ends: what it gives back may be used elsewhere at once, and still no window holds more than the
 // sum of all parts. Parts hold for a lease, so that requests go on being served while no controller can be reached.
+//
+// A file each: holder counts requests against parts and asks for them, allotter gives them, ends says until when a part may be
+// in use that nobody renews, stretch keeps a reserve of each quota for the next leader.
 package quoter
 
 import (
