Four ways to break the sum of quotas are each noticed by random schedules

A new leader that does not wait for the holders, a rest that each leader gives out again, a run that holds nothing once it was followed, and uses that are given back: of 300 schedules of twice the quota, each of them passes the bound in one at least.

--- a/core/quoter/quoter_test.go
+++ b/core/quoter/quoter_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"chervilrail.example/core/limiter"
 	"chervilrail.example/core/wire"
 )
 
@@ -393,24 +394,76 @@
 		rounds = n
 	}
 	for seed := range rounds {
-		random := rand.New(rand.NewPCG(uint64(seed), 7))
-		w := &world{
-			terms: testTerms, instances: 3 * (1 + random.IntN(4)), organisations: skewed(1+random.IntN(4), 20+100*random.Float64()),
-			demand: func(time.Duration, int) float64 { return 2 }, step: 10 * time.Millisecond,
+		if most := schedule(uint64(seed), func(*leased) {}); most > 1 {
+			t.Fatalf("seed %d: a window holds %.2f of its bound", seed, most)
 		}
-		w.where = anywhere(w.instances)
-		l := newLeased(begun, w.terms, w.instances, w.organisations).pool(3)
-		l.lose = func() bool { return random.IntN(10) == 0 }
-		term := uint64(1)
-		w.each = func(now time.Time, _ time.Duration) { disturb(random, l, now, &term) }
-		for _, o := range w.play(uint64(seed), 12*time.Second, l) {
-			if o.most > 1 {
-				t.Fatalf("seed %d: a window holds %.2f of its bound", seed, o.most)
+	}
+}
+
+// schedule plays a random history under twice the quota, and returns the fullest window over its bound. Break is called every
+// step.
+func schedule(seed uint64, breaks func(l *leased)) float64 {
+	random := rand.New(rand.NewPCG(seed, 7))
+	w := &world{
+		terms: testTerms, instances: 3 * (1 + random.IntN(4)), organisations: skewed(1+random.IntN(4), 20+100*random.Float64()),
+		demand: func(time.Duration, int) float64 { return 2 }, step: 10 * time.Millisecond,
+	}
+	w.where = anywhere(w.instances)
+	l := newLeased(begun, w.terms, w.instances, w.organisations).pool(3)
+	l.lose = func() bool { return random.IntN(10) == 0 }
+	term := uint64(1)
+	w.each = func(now time.Time, _ time.Duration) {
+		disturb(random, l, now, &term)
+		breaks(l)
+	}
+	most := 0.0
+	for _, o := range w.play(seed, 12*time.Second, l) {
+		most = max(most, o.most)
+	}
+	return most
+}
+
+// Each breaks one thing that keeps the sum; random schedules have to notice.
+func TestNaiveSharingPassesTheQuota(t *testing.T) {
+	for name, breaks := range map[string]func(l *leased){
+		"a new leader does not wait for the holders": func(l *leased) { clear(l.allotter.unknown) },
+		"the rest is given out again by each leader": func(l *leased) {
+			for _, o := range l.plan.GetOrganisations() {
+				l.allotter.fresh[o.GetName()] = true
 			}
-		}
+		},
+		"a run that was followed holds nothing": func(l *leased) {
+			for who, h := range l.allotter.listed {
+				if l.allotter.latest[who.name] != who {
+					l.allotter.drop(h)
+					delete(l.allotter.unknown, who)
+				}
+			}
+		},
+		"what was used is given back": func(l *leased) {
+			for _, s := range l.holders {
+				for _, p := range s.holder.parts {
+					if p.tight {
+						p.used = limiter.Window{Origin: begun.Add(-time.Second), Length: testTerms.Window}
+					}
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(naiveRounds) {
+				if schedule(seed, breaks) > 1 {
+					return
+				}
+			}
+			t.Fatal("no schedule noticed")
+		})
 	}
 }
 
+// naiveRounds is in how many schedules a broken way has to be noticed.
+const naiveRounds = 300
+
 // disturb does something to the system now and then.
 func disturb(random *rand.Rand, l *leased, now time.Time, term *uint64) {
 	s := l.holders[random.IntN(len(l.holders))]
