Requests that waited are counted when they were let through

The users' rule counts a request in a window where it was both sent and run inside it; counting by when it was let through counts no fewer.

--- a/core/quoter/leased_test.go
+++ b/core/quoter/leased_test.go
@@ -75,7 +75,7 @@
 type waiter struct {
 	organisation int
 	until        time.Time
-	done         func(granted bool)
+	done         func(decided time.Time, granted bool)
 	last         Verdict
 }
 
@@ -120,16 +120,16 @@
 
 func organisationName(i int) string { return "e" + string(rune('a'+i%26)) + string(rune('a'+i/26)) }
 
-func (l *leased) admit(now time.Time, instance, organisation int, done func(granted bool)) {
+func (l *leased) admit(now time.Time, instance, organisation int, done func(decided time.Time, granted bool)) {
 	s := l.holders[instance]
 	if name := l.plan.GetOrganisations()[organisation].GetName(); l.regions > 0 && s.holder.Pooled(name) {
 		s = l.holders[l.owner(instance, name)]
 	}
 	switch v := s.holder.Take(now, l.plan.GetOrganisations()[organisation].GetName(), Verdict{}); v.Outcome {
 	case Granted:
-		done(true)
+		done(now, true)
 	case Exceeded:
-		done(false)
+		done(now, false)
 	case Lacking, Unknown:
 		s.waiting = append(s.waiting, waiter{organisation, now.Add(waits), done, v})
 	}
@@ -180,12 +180,12 @@
 			v := s.holder.Take(now, l.plan.GetOrganisations()[w.organisation].GetName(), w.last)
 			w.last = v
 			if v.Outcome == Granted || v.Outcome == Exceeded {
-				w.done(v.Outcome == Granted)
+				w.done(now, v.Outcome == Granted)
 				continue
 			}
 		}
 		if !now.Before(w.until) {
-			w.done(false)
+			w.done(now, false)
 			continue
 		}
 		s.waiting = append(s.waiting, w)
--- a/core/quoter/quoter_test.go
+++ b/core/quoter/quoter_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -393,13 +394,20 @@
 	if n, err := strconv.Atoi(os.Getenv("CHERVILRAIL_ROUNDS")); err == nil {
 		rounds = n
 	}
+	seeds := slices.Clone(failedSeeds)
 	for seed := range rounds {
-		if most := schedule(uint64(seed), func(*leased) {}); most > 1 {
-			t.Fatalf("seed %d: a window holds %.2f of its bound", seed, most)
+		seeds = append(seeds, uint64(seed))
+	}
+	for _, seed := range seeds {
+		if most := schedule(seed, func(*leased) {}); most > 1 {
+			t.Fatalf("seed %d: a window holds %.4f of its bound", seed, most)
 		}
 	}
 }
 
+// failedSeeds once showed a window over its bound: 5604 for requests that waited were counted when they came.
+var failedSeeds = []uint64{5604}
+
 // schedule plays a random history under twice the quota, and returns the fullest window over its bound. Break is called every
 // step.
 func schedule(seed uint64, breaks func(l *leased)) float64 {
--- a/core/quoter/replay_test.go
+++ b/core/quoter/replay_test.go
@@ -12,8 +12,8 @@
 // sharing is a way to share quotas among entry instances, as the replay drives it: one decision on a request of an
 // organisation at an instance.
 type sharing interface {
-	// admit decides on a request at a time; wait is for how long it waits for a decision, done is called with the outcome.
-	admit(now time.Time, instance, organisation int, done func(granted bool))
+	// admit decides on a request that comes at a time; done is called with the outcome and when it was decided.
+	admit(now time.Time, instance, organisation int, done func(decided time.Time, granted bool))
 	// tick is called every few milliseconds.
 	tick(now time.Time)
 	// bytes is what was sent between instances and controllers.
@@ -69,13 +69,13 @@
 				t := out[i]
 				t.asked++
 				t.askedIn[second]++
-				s.admit(now, w.where(random, at), i, func(granted bool) {
+				s.admit(now, w.where(random, at), i, func(decided time.Time, granted bool) {
 					if !granted {
 						t.refused[second]++
 						return
 					}
 					t.granted++
-					t.times = append(t.times, now)
+					t.times = append(t.times, decided)
 				})
 			}
 		}
@@ -95,7 +95,8 @@
 	return (o.GetRate()*w.terms.Window.Seconds()+o.GetBurst())*(1+w.terms.Overage) + w.terms.Slack
 }
 
-// highest is the most grants in any window.
+// highest is the most grants in any window. The users' rule counts a request where it was both sent and run inside the window,
+// so this counts no fewer.
 func (t *tally) highest(window time.Duration) float64 {
 	most, first := 0, 0
 	for i := range t.times {
--- a/core/quoter/ways_test.go
+++ b/core/quoter/ways_test.go
@@ -30,8 +30,8 @@
 	return f
 }
 
-func (f *fixed) admit(now time.Time, instance, organisation int, done func(granted bool)) {
-	done(f.used[instance][organisation].Take(now, f.parts[organisation], 1))
+func (f *fixed) admit(now time.Time, instance, organisation int, done func(decided time.Time, granted bool)) {
+	done(now, f.used[instance][organisation].Take(now, f.parts[organisation], 1))
 }
 func (f *fixed) tick(time.Time) {}
 func (f *fixed) bytes() int     { return 0 }
@@ -64,12 +64,12 @@
 	return c
 }
 
-func (c *counted) admit(now time.Time, instance, organisation int, done func(granted bool)) {
+func (c *counted) admit(now time.Time, instance, organisation int, done func(decided time.Time, granted bool)) {
 	used := &c.used[instance][organisation]
 	others := c.told[instance][organisation]
 	// In the time since the news the others may have let through as much as in as long a time before.
 	since := 1 + float64(now.Sub(c.heardAt[instance]))/float64(5*time.Second)
-	done(used.Take(now, c.limits[organisation]-int64(float64(others)*since), 1))
+	done(now, used.Take(now, c.limits[organisation]-int64(float64(others)*since), 1))
 }
 
 func (c *counted) tick(now time.Time) {
