What is certain of a request is told once; outcomes and ages in one place

Read over: a flag beside the certainty of an attempt said the same again, set in three places; outcomes between instances were looked up backwards through a map; the age of a part was worked out twice; a holder that is over was reset where it can't be. Behaviour as before; tests unchanged.

--- a/core/quoter/allotter.go
+++ b/core/quoter/allotter.go
@@ -170,7 +170,7 @@
 	if h.until.IsZero() {
 		a.outrun(now, who, time.Duration(r.GetAge()))
 	}
-	h.until, h.over = a.mayHold(now), false
+	h.until = a.mayHold(now)
 	a.note(h, r)
 	delete(a.unknown, who)
 	for _, p := range r.GetParts() {
--- a/core/quoter/verdict.go
+++ b/core/quoter/verdict.go
@@ -47,3 +47,11 @@
 	// asking is the sequence of the request that asks for it.
 	asking uint64
 }
+
+// Age is how old the part was that decided, zero if there was none.
+func (v Verdict) Age(now time.Time) time.Duration {
+	if v.Since.IsZero() {
+		return 0
+	}
+	return now.Sub(v.Since)
+}
--- a/entry/internal/asker/admit.go
+++ b/entry/internal/asker/admit.go
@@ -67,7 +67,7 @@
 	}
 	now := time.Now()
 	out := quoter.Verdict{
-		Outcome: outcomes[r.GetOutcome()], Retry: now.Add(time.Duration(r.GetRetry())), Held: r.GetHeld(), Used: r.GetUsed(),
+		Outcome: quoter.Outcome(slices.Index(outcomes, r.GetOutcome())), Retry: now.Add(time.Duration(r.GetRetry())), Held: r.GetHeld(), Used: r.GetUsed(),
 		Since: now.Add(-time.Duration(r.GetAge())), Peer: owner.Name,
 	}
 	if out.Outcome == quoter.Granted {
@@ -76,12 +76,12 @@
 	return out, nil
 }
 
-// outcomes are the names of outcomes between instances.
-var outcomes = map[wire.QuotaOutcome]quoter.Outcome{
-	wire.QuotaOutcome_QUOTA_GRANTED:  quoter.Granted,
-	wire.QuotaOutcome_QUOTA_LACKING:  quoter.Lacking,
-	wire.QuotaOutcome_QUOTA_EXCEEDED: quoter.Exceeded,
-	wire.QuotaOutcome_QUOTA_UNKNOWN:  quoter.Unknown,
+// outcomes are what outcomes are called between instances.
+var outcomes = []wire.QuotaOutcome{
+	quoter.Granted:  wire.QuotaOutcome_QUOTA_GRANTED,
+	quoter.Lacking:  wire.QuotaOutcome_QUOTA_LACKING,
+	quoter.Exceeded: wire.QuotaOutcome_QUOTA_EXCEEDED,
+	quoter.Unknown:  wire.QuotaOutcome_QUOTA_UNKNOWN,
 }
 
 // Spend implements locator.Spender.
@@ -99,18 +99,10 @@
 		return &wire.SpendResponse{Outcome: wire.QuotaOutcome_QUOTA_UNKNOWN}
 	}
 	v := a.admit(ctx, r.GetOrganisation(), now.Add(locator.SpendWithin))
-	out := &wire.SpendResponse{Held: v.Held, Used: v.Used}
-	if !v.Since.IsZero() {
-		out.Age = int64(now.Sub(v.Since))
-	}
+	out := &wire.SpendResponse{Outcome: outcomes[v.Outcome], Held: v.Held, Used: v.Used, Age: int64(v.Age(now))}
 	if !v.Retry.IsZero() {
 		out.Retry = int64(max(0, time.Until(v.Retry)))
 	}
-	for name, outcome := range outcomes {
-		if outcome == v.Outcome {
-			out.Outcome = name
-		}
-	}
 	return out
 }
 
--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -23,8 +23,6 @@
 	reason string
 	// gone: the caller left, there is nobody to answer.
 	gone bool
-	// ran: a target may have run the request.
-	ran bool
 }
 
 func refuse(status int, reason string, retry time.Time) result {
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -30,8 +30,8 @@
 	unknown
 )
 
-// attempts sends a request until there is a final result.
-func (c *Carrier) attempts(j *job) result {
+// attempts sends a request until there is a final result, and returns that with what is certain of it.
+func (c *Carrier) attempts(j *job) (result, ending) {
 	g := c.gate(j.service)
 	g.ask(j.started)
 	var tried []string
@@ -40,27 +40,24 @@
 		decision, present := g.admit(j.request.Context(), c.ticket(j, g, tried))
 		j.waited = time.Since(j.started)
 		if !present {
-			out := gone()
-			out.ran = certain == unknown
-			return out
+			return gone(), certain
 		}
 		if decision.Target == nil && certain != unknown {
-			return refuse(http.StatusServiceUnavailable, decision.Reason, decision.Retry)
+			return refuse(http.StatusServiceUnavailable, decision.Reason, decision.Retry), certain
 		}
 		if decision.Target == nil {
-			return c.giveUp(j, certain)
+			return c.giveUp(j, certain), certain
 		}
 		out, end := c.attempt(j, g, decision)
 		if end == answered {
-			out.ran = true
-			return out
+			return out, answered
 		}
 		tried = append(tried, decision.Target.Name)
 		// The least certain attempt decides what may be said at last: one that may have run is not made undone by
 		// another that did not.
 		certain = max(certain, end)
 		if !c.again(j, g, end) {
-			return c.giveUp(j, certain)
+			return c.giveUp(j, certain), certain
 		}
 	}
 }
@@ -273,10 +270,8 @@
 	if end != unknown {
 		return refuse(http.StatusServiceUnavailable, "failed", now.Add(retryPause))
 	}
-	out := refuse(http.StatusBadGateway, "broken", time.Time{})
 	if !now.Before(j.deadline) {
-		out = refuse(http.StatusGatewayTimeout, "timeout", time.Time{})
+		return refuse(http.StatusGatewayTimeout, "timeout", time.Time{})
 	}
-	out.ran = true
-	return out
+	return refuse(http.StatusBadGateway, "broken", time.Time{})
 }
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -274,8 +274,8 @@
 	if out := c.admit(j); out != nil {
 		return *out
 	}
-	out := c.attempts(j)
-	if !out.ran {
+	out, end := c.attempts(j)
+	if end == unsent || end == unrun {
 		c.Quotas.Return(j.organisation.GetName(), j.quota)
 	}
 	return out
--- a/entry/internal/carrier/organisation.go
+++ b/entry/internal/carrier/organisation.go
@@ -52,13 +52,9 @@
 	if j.quota.Outcome == quoter.Granted {
 		return nil
 	}
-	age := time.Duration(0)
-	if !j.quota.Since.IsZero() {
-		age = time.Since(j.quota.Since)
-	}
 	_ = level.Info(c.Logger).Log("msg", "quota", "id", j.call.ID, "organisation", name, "outcome", j.quota.Outcome,
 		"rate", j.organisation.GetRate(), "burst", j.organisation.GetBurst(), "held", j.quota.Held, "used", j.quota.Used,
-		"age", age, "peer", j.quota.Peer)
+		"age", j.quota.Age(time.Now()), "peer", j.quota.Peer)
 	status, retry := http.StatusTooManyRequests, j.quota.Retry
 	if j.quota.Outcome != quoter.Exceeded {
 		status, retry = http.StatusServiceUnavailable, time.Now().Add(partsRetry)
--- a/entry/internal/locator/locator.go
+++ b/entry/internal/locator/locator.go
@@ -91,7 +91,7 @@
 
 // Owns reports whether this instance answers for an object, of those that are not known to be out of reach.
 func (l *Locator) Owns(peers []Peer, object uint64) bool {
-	return l.owner(time.Now(), peers, object).Name == l.Self
+	return l.Owner(peers, object).Name == l.Self
 }
 
 // Owner returns the instance that answers for an object, of those that are not known to be out of reach.
