--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -8,10 +8,11 @@
 // where it is expected to be done first. Few requests may wait at a target; the others wait here, where a more urgent one
 // can overtake them. Room goes first to requests that can still be answered on time, most urgent first.
 //
-// A file each: choice finds the target of a request, queue orders those that wait, assigner gives objects their hosts, room finds the targets for them, hosts
-// names some by hash for requests whose host is not known, chance says how likely those are warm, balancer moves
-// objects off targets that have too many, overflow finds a place for requests whose host is full, crowd stands in for what is not known of other instances' requests, spread keeps the
-// parts that go to each region from jumping, target holds what is known of one.
+// A file each: choice finds the target of a request, queue orders those that wait, assigner gives objects their hosts, room
+// finds the targets for them, hosts names some by hash for requests whose host is not known, chance says how likely those
+// are warm, balancer moves objects off targets that have too many, overflow finds a place for requests whose host is full,
+// crowd stands in for what is not known of other instances' requests, spread keeps the parts that go to each region from
+// jumping, target holds what is known of one.
 package placer
 
 import (
