Lines that tell bytes on their way from a silent target

The record of the incident allows three hypotheses and the logs could not tell them apart: 'attempt failed' said neither how long the attempt had taken nor whether the target's machine had got the request, and 'evacuated zones' gave a number. Added: zone, took and held (bytes unacknowledged at the end, as the kernel tells), the names of the zones, and chervilrail_entry_held_total. No decision changes.

--- /dev/null
+++ b/core/resetter/resetter_test.go
@@ -0,0 +1,64 @@
+package resetter
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// room is the receive buffer of a machine that takes little, in bytes.
+	room = 4 << 10
+	// much is more than fits there, and less than fits here and there together.
+	much     = 128 << 10
+	patience = 5 * time.Second
+)
+
+// pair returns both ends of a connection; the far end takes little until it is read.
+func pair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	is := is.New(t)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(socket.Close()) }()
+	raw, err := net.Dial("tcp", socket.Addr().String())
+	is.NoErr(err)
+	accepted, err := socket.Accept()
+	is.NoErr(err)
+	near, _ = raw.(*net.TCPConn)
+	far, _ = accepted.(*net.TCPConn)
+	is.NoErr(far.SetReadBuffer(room))
+	is.NoErr(near.SetWriteBuffer(2 * much))
+	t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+	return near, far
+}
+
+// Guards against a log that can't tell a target that is at work from one that never got the request.
+func TestUnacknowledgedBytesAreCounted(t *testing.T) {
+	is := is.New(t)
+	near, far := pair(t)
+	_, err := near.Write(make([]byte, much))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	count, ok := Unacknowledged(near)
+	is.True(ok)
+	is.True(count > 0 && count < much)
+	is.NoErr(far.SetReadBuffer(much))
+	_, err = io.ReadFull(far, make([]byte, much))
+	is.NoErr(err)
+	for end := time.Now().Add(patience); count > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		count, ok = Unacknowledged(near)
+		is.True(ok)
+	}
+	is.Equal(count, 0)
+}
+
+func TestConnectionsThatAreNoSocketsDoNotTell(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _, _ = near.Close(), far.Close() }()
+	_, ok := Unacknowledged(near)
+	is.New(t).True(!ok)
+}
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -166,7 +167,7 @@
 	}
 	if err != nil {
 		outcome.Unreachable = ctx.Err() == nil
-		c.noteLoss(j, t, how, err, ctx.Err() != nil)
+		c.noteLoss(j, t, loss{how: how, err: err, late: ctx.Err() != nil, took: time.Since(start)})
 	}
 	g.done(t, outcome)
 	return out, end
@@ -247,12 +248,33 @@
 	}
 }
 
+// loss is an attempt without an answer.
+type loss struct {
+	how pooler.Ending
+	err error
+	// late: the attempt's time was over or its caller had left.
+	late bool
+	took time.Duration
+}
+
+// held is how many bytes of the request the target's machine had not acknowledged.
+func (l *loss) held() int {
+	var held *pooler.HeldError
+	if errors.As(l.err, &held) {
+		return held.Bytes
+	}
+	return 0
+}
+
 // noteLoss remembers what a broken attempt tells of its target, and of its request.
-func (c *Carrier) noteLoss(j *job, t *placer.Target, how pooler.Ending, err error, late bool) {
-	_ = level.Info(c.Logger).Log("msg", "attempt failed", "id", j.call.ID, "target", t.Name, "sent", how != pooler.Unsent,
-		"late", late, "err", err)
+func (c *Carrier) noteLoss(j *job, t *placer.Target, l loss) {
+	_ = level.Info(c.Logger).Log("msg", "attempt failed", "id", j.call.ID, "target", t.Name, "zone", t.Zone,
+		"sent", l.how != pooler.Unsent, "late", l.late, "took", l.took, "held", l.held(), "err", l.err)
+	if l.held() > 0 {
+		c.Metrics.held.WithLabelValues(j.service).Inc()
+	}
 	c.Sender.Retire(t.Address)
-	if how != pooler.Broken || late {
+	if l.how != pooler.Broken || l.late {
 		return
 	}
 	run := quarantiner.Run{Target: t.Name, Incarnation: t.Incarnation}
--- a/entry/internal/carrier/metrics.go
+++ b/entry/internal/carrier/metrics.go
@@ -18,6 +18,7 @@
 	seconds  *prometheus.HistogramVec
 	waits    *prometheus.HistogramVec
 	placed   *prometheus.CounterVec
+	held     *prometheus.CounterVec
 	// organisations counts by organisation; named are those that have a label of their own.
 	organisations *prometheus.CounterVec
 	named         atomic.Pointer[map[string]bool]
@@ -47,11 +48,15 @@
 			Namespace: "chervilrail_entry", Name: "objects_placed_total", Help: "Objects placed or moved by service and reason.",
 		}, []string{"service", "reason"}),
 	}
+	m.held = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "chervilrail_entry", Name: "held_total",
+		Help: "Requests given up while bytes of them were on the way to a target, by service.",
+	}, []string{"service"})
 	m.organisations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "chervilrail_entry", Name: "organisation_requests_total",
 		Help: "Requests by organisation and status; the largest organisations by name, the rest as others.",
 	}, []string{"organisation", "status"})
-	r.MustRegister(m.requests, m.seconds, m.waits, m.placed, m.organisations)
+	r.MustRegister(m.requests, m.seconds, m.waits, m.placed, m.held, m.organisations)
 	return m
 }
 
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"chervilrail.example/core/resetter"
 )
 
 const (
@@ -91,6 +93,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, ending, err := c.carry(r)
+	if ending != Answered {
+		err = c.held(err)
+	}
 	if !stop() || ending != Answered || !c.reusable(answer) {
 		_ = c.Close()
 		return answer, ending, err
@@ -269,6 +274,32 @@
 // Error implements error.
 func (e *SizeError) Error() string { return "too large an answer from " + e.Address.String() }
 
+// HeldError says that a request was given up before the target's machine had all of it.
+type HeldError struct {
+	Address netip.AddrPort
+	// Bytes is how much was written and not acknowledged.
+	Bytes int
+	// Err is how the attempt ended.
+	Err error
+}
+
+// Error implements error.
+func (e *HeldError) Error() string {
+	return strconv.Itoa(e.Bytes) + " bytes on the way to " + e.Address.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns how the attempt ended.
+func (e *HeldError) Unwrap() error { return e.Err }
+
+// held tells of bytes that the target's machine has not acknowledged at the end of a failed attempt.
+func (c *conn) held(err error) error {
+	bytes, ok := resetter.Unacknowledged(c.Conn)
+	if !ok || bytes == 0 {
+		return err
+	}
+	return &HeldError{Address: c.address, Bytes: bytes, Err: err}
+}
+
 // Refused reports whether an error shows that nothing listens at the address.
 func Refused(err error) bool {
 	var op *net.OpError
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -116,7 +117,7 @@
 	if !slices.Equal(s.evacuated, r.GetEvacuated()) {
 		w.coolReturned(now, r.GetEvacuated())
 		s.evacuated = r.GetEvacuated()
-		_ = level.Info(w.Logger).Log("msg", "evacuated zones", "zones", len(s.evacuated), "revision", s.revision)
+		_ = level.Info(w.Logger).Log("msg", "evacuated zones", "zones", strings.Join(s.evacuated, ","), "revision", s.revision)
 	}
 	return true
 }
