A request that was given up must not reach its target: failing test, listed

What callers and operators saw: a request ran in a zone seconds after its evacuation had been acknowledged, and after its caller had left.

--- a/core/resetter/resetter_test.go
+++ b/core/resetter/resetter_test.go
@@ -1,19 +1,22 @@
 package resetter
 
 import (
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// room is the receive buffer of a machine that takes little, in bytes.
 	room = 4 << 10
-	// much is more than fits there, and less than fits here and there together.
-	much     = 128 << 10
+	// much is more than fits there, and less than fits here.
+	much     = 64 << 10
 	patience = 5 * time.Second
 )
 
@@ -21,7 +24,14 @@
 func pair(t *testing.T) (near, far *net.TCPConn) {
 	t.Helper()
 	is := is.New(t)
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failure error
+		err := c.Control(func(fd uintptr) {
+			failure = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, room)
+		})
+		return errors.Join(err, failure)
+	}}
+	socket, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { is.NoErr(socket.Close()) }()
 	raw, err := net.Dial("tcp", socket.Addr().String())
@@ -30,7 +40,6 @@
 	is.NoErr(err)
 	near, _ = raw.(*net.TCPConn)
 	far, _ = accepted.(*net.TCPConn)
-	is.NoErr(far.SetReadBuffer(room))
 	is.NoErr(near.SetWriteBuffer(2 * much))
 	t.Cleanup(func() { _, _ = near.Close(), far.Close() })
 	return near, far
@@ -46,7 +55,6 @@
 	count, ok := Unacknowledged(near)
 	is.True(ok)
 	is.True(count > 0 && count < much)
-	is.NoErr(far.SetReadBuffer(much))
 	_, err = io.ReadFull(far, make([]byte, much))
 	is.NoErr(err)
 	for end := time.Now().Add(patience); count > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
--- /dev/null
+++ b/entry/internal/pooler/abandon_test.go
@@ -0,0 +1,74 @@
+package pooler
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// room is the receive buffer of a target's machine that takes little, in bytes.
+	room = 4 << 10
+	// large is a body that does not fit there and fits into the send buffer here, in bytes.
+	large = 24 << 10
+)
+
+// lazy is a target that reads nothing until it is told to, and then tells how much it got.
+func lazy(t *testing.T, begin <-chan struct{}) (netip.AddrPort, <-chan int) {
+	t.Helper()
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failure error
+		err := c.Control(func(fd uintptr) {
+			failure = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, room)
+		})
+		return errors.Join(err, failure)
+	}}
+	socket, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = socket.Close() })
+	got := make(chan int, 1)
+	go func() {
+		c, err := socket.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		<-begin
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			got <- 0
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		got <- len(body)
+	}()
+	return netip.MustParseAddrPort(socket.Addr().String()), got
+}
+
+// Guards against requests that reach their target seconds after they were given up: the kernel goes on sending what was
+// written before a close in order.
+func TestGivenUpRequestNeverArrives(t *testing.T) {
+	is := is.New(t)
+	begin := make(chan struct{})
+	address, got := lazy(t, begin)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	p := &Pooler{}
+	r := request(string(make([]byte, large)))
+	_, ending, err := p.Send(ctx, address, r)
+	is.Equal(ending, Broken)
+	is.True(err != nil)
+	time.Sleep(100 * time.Millisecond)
+	close(begin)
+	is.True(<-got < large)
+}
