A request that was given up is withdrawn from the kernel too

Callers saw nothing; the operator saw a request run in a zone 5.7 s after its evacuation was acknowledged. Cause: an attempt that ends without an answer closed its connection in order. The kernel then goes on sending what the other machine has not acknowledged, with pauses that double, so bytes written before a cut arrive seconds after it, behind them the close ('0 cut'). Ruled out by log lines: a late decision (one decision, before the evacuation), an old view (the instance knew of the evacuation 0.1 s after the failed attempt).

Now such a connection is reset, which drops them.

Left: a request that still has time, and whose bytes are on their way when its zone is evacuated or its target leaves.

--- a/core/resetter/resetter.go
+++ b/core/resetter/resetter.go
@@ -1,4 +1,5 @@
-// Package resetter ends connections on which something was given up.
+// Package resetter ends connections so that nothing arrives that was given up. A close in order leaves what was written
+// in the kernel, which goes on sending it: through a cut that ends seconds later, a request would still run.
 package resetter
 
 import (
@@ -23,3 +24,11 @@
 	err = raw.Control(func(fd uintptr) { count, failure = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
 	return count, err == nil && failure == nil
 }
+
+// Reset closes a connection and drops what the other machine has not acknowledged.
+func Reset(c net.Conn) error {
+	if socket, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0)
+	}
+	return c.Close()
+}
--- a/core/resetter/resetter_test.go
+++ b/core/resetter/resetter_test.go
@@ -70,3 +70,17 @@
 	_, ok := Unacknowledged(near)
 	is.New(t).True(!ok)
 }
+
+// Guards against bytes that arrive seconds after their sender gave them up.
+func TestResetDropsWhatIsOnItsWay(t *testing.T) {
+	is := is.New(t)
+	near, far := pair(t)
+	_, err := near.Write(make([]byte, much))
+	is.NoErr(err)
+	is.NoErr(Reset(near))
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(far.SetDeadline(time.Now().Add(patience)))
+	got, err := io.Copy(io.Discard, far)
+	is.True(err != nil)
+	is.True(got < much)
+}
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -93,12 +93,15 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, ending, err := c.carry(r)
+	done := stop()
 	if ending != Answered {
 		err = c.held(err)
+		_ = resetter.Reset(c.Conn)
+		return nil, ending, err
 	}
-	if !stop() || ending != Answered || !c.reusable(answer) {
+	if !done || !c.reusable(answer) {
 		_ = c.Close()
-		return answer, ending, err
+		return answer, ending, nil
 	}
 	p.put(c, answer)
 	return answer, ending, nil
