Requests on their way to withdrawn targets are recalled

The second half of the incident's cause: a request that still has time may be on its way when its target's zone is evacuated, or the target leaves or is gone. Behind a cut its bytes arrive when the kernel sends them again, up to the caller's deadline later, and no decision of the entry instance can keep them back.

Placer.Update now names the targets that get no more requests while some are there. A second later, when the last of them is written, the carrier recalls those sent over half a second ago of which the target's machine has acknowledged nothing; their connections are reset. What the target has, stays: nothing that runs is cut. Such a request counts no longer as one that crashed its target.

Open: a body that does not fit the send buffer is not recalled, for the kernel does not tell how much of it is acknowledged.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -146,8 +146,9 @@
 }
 
 // Update follows the control state; entries is how many entry instances share the targets. Targets that stay keep
-// what is known of them.
-func (p *Placer) Update(now time.Time, specs []Spec, entries int) {
+// what is known of them. It returns those that get no more requests, or started anew, while requests of this instance are
+// there.
+func (p *Placer) Update(now time.Time, specs []Spec, entries int) []Spec {
 	old := p.byName
 	p.byName, p.byKey = map[string]*Target{}, map[uint32]*Target{}
 	p.targets = nil
@@ -165,6 +166,8 @@
 			if !p.firstAt.IsZero() && !p.starting(now) {
 				t.joinedAt = now
 			}
+		} else {
+			delete(old, s.Name)
 		}
 		t.Spec = s
 		if ready := t.readyAt(); ready.After(p.assigner.newest) {
@@ -190,6 +193,18 @@
 	if changed {
 		p.spread.disturb(now)
 	}
+	return inUse(old)
+}
+
+// inUse returns those targets at which requests of this instance are.
+func inUse(targets map[string]*Target) []Spec {
+	var out []Spec
+	for _, t := range targets {
+		if t.running > 0 {
+			out = append(out, t.Spec)
+		}
+	}
+	return out
 }
 
 // Hear takes the loads of targets as all instances of the region saw them.
--- /dev/null
+++ b/core/placer/withdrawn_test.go
@@ -0,0 +1,41 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against requests to withdrawn targets that nobody looks after: Update must name the targets that hold some.
+func TestTargetsInUseThatLeaveAreNamed(t *testing.T) {
+	cases := map[string]struct {
+		change func(specs []Spec) []Spec
+		named  int
+	}{
+		"stays":         {func(specs []Spec) []Spec { return specs }, 0},
+		"left":          {func([]Spec) []Spec { return nil }, 1},
+		"started again": {func(specs []Spec) []Spec { specs[0].Incarnation++; return specs }, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			specs := []Spec{{Name: "a", Incarnation: 1, Region: "r", Slots: 1, Own: 1}}
+			p := &Placer{Region: "r", Zone: "z"}
+			is.Equal(len(p.Update(start.Add(-time.Minute), specs, 1)), 0)
+			decision, decided := p.Offer(start, &Ticket{
+				Aim: start.Add(time.Second), Deadline: start.Add(2 * time.Second), Warm: time.Millisecond,
+				Cold: time.Millisecond, Decided: make(chan Decision, 1),
+			})
+			is.True(decided)
+			is.True(decision.Target != nil)
+			withdrawn := p.Update(start.Add(time.Millisecond), c.change(specs), 1)
+			is.Equal(len(withdrawn), c.named)
+			if c.named > 0 {
+				is.Equal(withdrawn[0].Name, "a")
+			}
+			_ = p.Done(start.Add(2*time.Millisecond), decision.Target, Outcome{})
+			is.Equal(len(p.Update(start.Add(time.Second), nil, 1)), 0)
+		})
+	}
+}
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -274,7 +274,8 @@
 		c.Metrics.held.WithLabelValues(j.service).Inc()
 	}
 	c.Sender.Retire(t.Address)
-	if l.how != pooler.Broken || l.late {
+	// A target that has not got the whole request does not run it, and did not crash from it.
+	if l.how != pooler.Broken || l.late || l.held() > 0 {
 		return
 	}
 	run := quarantiner.Run{Target: t.Name, Incarnation: t.Incarnation}
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -45,6 +45,9 @@
 // Sender carries requests to targets.
 type Sender interface {
 	Send(ctx context.Context, address netip.AddrPort, r *pooler.Request) (*pooler.Answer, pooler.Ending, error)
+	// Recall gives up the requests that were sent to a target before a time and of which its machine has
+	// acknowledged nothing, and returns how many.
+	Recall(address netip.AddrPort, before time.Time) int
 	Retire(address netip.AddrPort)
 	Sweep(now time.Time)
 	Close()
@@ -81,6 +84,7 @@
 	gates   map[string]*gate
 	routes  routes
 	overdue overdue
+	recalls recalls
 	// counted is the plan whose organisations the metrics name.
 	counted  *wire.Plan
 	stopping atomic.Bool
@@ -150,6 +154,7 @@
 			g.tick(now)
 			c.balance(now, service, g)
 		}
+		c.recall(now)
 		for _, r := range c.overdue.due(now) {
 			c.Views.Observe(r)
 		}
@@ -202,8 +207,9 @@
 		}
 	}
 	self := slices.IndexFunc(v.Peers, func(p locator.Peer) bool { return p.Name == c.Self })
+	now := time.Now()
 	for name, g := range c.gates {
-		g.follow(time.Now(), v.Targets[name], v, c.Locator, max(0, self))
+		c.recalls.add(now, g.follow(now, v.Targets[name], v, c.Locator, max(0, self)))
 	}
 }
 
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -51,6 +51,8 @@
 	ends   []end
 	sent   []*pooler.Request
 	cancel int
+	// recalls counts the calls of Recall.
+	recalls int
 }
 
 func (s *targets) Send(ctx context.Context, _ netip.AddrPort, r *pooler.Request) (*pooler.Answer, pooler.Ending, error) {
@@ -73,6 +75,19 @@
 	return &pooler.Answer{Status: e.status, Header: header, Body: []byte("body")}, pooler.Answered, nil
 }
 
+func (s *targets) Recall(netip.AddrPort, time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recalls++
+	return 0
+}
+
+func (s *targets) recalled() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recalls
+}
+
 func (s *targets) Retire(netip.AddrPort) {}
 func (s *targets) Sweep(time.Time)       {}
 func (s *targets) Close()                {}
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -119,15 +119,17 @@
 	return &gate{place: placer.Placer{Region: region, Zone: zone, Far: far}}
 }
 
-func (g *gate) follow(now time.Time, specs []placer.Spec, v *watcher.View, peers Locator, self int) {
+// follow fits the gate to a view, and returns the targets that get no more requests while some are there.
+func (g *gate) follow(now time.Time, specs []placer.Spec, v *watcher.View, peers Locator, self int) []placer.Spec {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.place.Update(now, specs, v.Entries)
+	withdrawn := g.place.Update(now, specs, v.Entries)
 	if g.peers == nil || !slices.Equal(g.peers, v.Peers) {
 		g.peers = v.Peers
 		g.place.Own(func(object uint64) bool { return peers.Owns(v.Peers, object) }, self, len(v.Peers))
 	}
 	announce(g.place.Tick(now))
+	return withdrawn
 }
 
 // announce tells waiting requests what was decided.
--- /dev/null
+++ b/entry/internal/carrier/recall_test.go
@@ -0,0 +1,57 @@
+package carrier
+
+import (
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/placer"
+	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/entry/internal/pooler"
+)
+
+// Guards against requests on their way to a target that was withdrawn, and against giving up those of one that stays.
+func TestRequestsToAWithdrawnTargetAreRecalled(t *testing.T) {
+	for name, kept := range map[string]bool{"withdrawn": false, "kept": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, s := begin(t, end{hold: true})
+			view := *c.Views.View()
+			view.Table.Plan.Routes[1].Timeout = int64(3 * time.Second)
+			done := make(chan int, 1)
+			go func() { done <- ask(c, http.MethodPost, "/once/1").Code }()
+			time.Sleep(50 * time.Millisecond)
+			if !kept {
+				view.Targets = map[string][]placer.Spec{}
+			}
+			c.Follow(&view)
+			is.Equal(s.recalled(), 0) // the last request may still be opening its connection
+			time.Sleep(recallAfter + 5*tendEvery)
+			is.Equal(s.recalled() > 0, !kept)
+			is.Equal(<-done, http.StatusGatewayTimeout)
+		})
+	}
+}
+
+// Guards against requests that are refused as dangerous since targets that never got them could not be reached.
+func TestRequestThatNeverArrivedIsNotSuspect(t *testing.T) {
+	for name, c := range map[string]struct {
+		err    error
+		losses int
+	}{
+		"on its way": {&pooler.HeldError{Address: netip.MustParseAddrPort("127.0.0.1:1"), Bytes: 9, Err: http.ErrHandlerTimeout}, 0},
+		"arrived":    {http.ErrHandlerTimeout, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			carrier, _ := begin(t, end{})
+			j := &job{fingerprint: quarantiner.Fingerprint{1}}
+			target := &placer.Target{Spec: placer.Spec{Name: "t1", Incarnation: 1}}
+			carrier.noteLoss(j, target, loss{how: pooler.Broken, err: c.err})
+			is.Equal(carrier.Quarantine.Losses(time.Now(), j.fingerprint), c.losses)
+		})
+	}
+}
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -71,6 +71,14 @@
 type Pooler struct {
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
+	// flights are the requests that wait for their answers.
+	flights map[*conn]flight
+}
+
+// flight is a request at a target or on its way there.
+type flight struct {
+	bytes   int
+	started time.Time
 }
 
 type conn struct {
@@ -92,7 +100,10 @@
 		_ = c.SetDeadline(deadline)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	answer, ending, err := c.carry(r)
+	text := encode(r)
+	p.launch(c, len(text))
+	answer, ending, err := c.carry(r, text)
+	p.land(c)
 	done := stop()
 	if ending != Answered {
 		err = c.held(err)
@@ -155,6 +166,39 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+func (p *Pooler) launch(c *conn, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.flights == nil {
+		p.flights = map[*conn]flight{}
+	}
+	p.flights[c] = flight{bytes: bytes, started: time.Now()}
+}
+
+func (p *Pooler) land(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.flights, c)
+}
+
+// Recall gives up the requests that were sent to a target before a time and of which its machine has acknowledged
+// nothing, and returns how many. Their attempts end as broken.
+func (p *Pooler) Recall(address netip.AddrPort, before time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for c, f := range p.flights {
+		if c.address != address || !f.started.Before(before) {
+			continue
+		}
+		if held, ok := resetter.Unacknowledged(c.Conn); ok && held >= f.bytes {
+			_ = c.SetDeadline(time.Unix(1, 0))
+			count++
+		}
+	}
+	return count
+}
+
 // Retire closes the idle connections to a target. Those that were forgotten by something on the way are often
 // forgotten together.
 func (p *Pooler) Retire(address netip.AddrPort) {
@@ -199,8 +243,8 @@
 }
 
 // carry writes the request and reads its answer.
-func (c *conn) carry(r *Request) (*Answer, Ending, error) {
-	n, err := c.Write(encode(r))
+func (c *conn) carry(r *Request, text []byte) (*Answer, Ending, error) {
+	n, err := c.Write(text)
 	if err != nil {
 		if n == 0 && c.fresh {
 			return nil, Unsent, err
