Requests that wait for a part of a quota ask in turns

Now the questions about one organisation that bring nothing are spaced out, from 20 to 320 ms, for all its waiting requests together. The instances that follow the plan late answer in 1.5003 s, so their processor is not short; what they send and get is late.

--- a/entry/internal/asker/admit.go
+++ b/entry/internal/asker/admit.go
@@ -26,21 +26,26 @@
 func (a *Asker) Admit(ctx context.Context, organisation string, start, deadline time.Time) quoter.Verdict {
 	now := time.Now()
 	until := now.Add(min(max(minPatience, start.Sub(now)), deadline.Sub(now)/patienceParts))
+	v := quoter.Verdict{Outcome: quoter.Unknown}
 	for {
 		owner := a.owner(organisation)
 		if owner.Name == a.Self.GetName() {
 			return a.admit(ctx, organisation, until)
 		}
-		v, err := a.borrow(ctx, owner, organisation)
-		if err == nil && v.Outcome != quoter.Lacking && v.Outcome != quoter.Unknown {
-			return v
+		due, free := a.turns.take(time.Now(), organisation)
+		if free {
+			v = a.borrow(ctx, owner, organisation)
+			if v.Outcome != quoter.Lacking && v.Outcome != quoter.Unknown {
+				return v
+			}
+			// One that did not answer is left out, and another takes its place. One that lacks parts has waited already;
+			// one that does not know the organisation yet says so at once.
+			due = time.Now().Add(again)
 		}
-		// One that did not answer is left out, and another takes its place. One that lacks parts has waited already; one that
-		// does not know the organisation yet says so at once.
 		select {
 		case <-ctx.Done():
 			return v
-		case <-time.After(again):
+		case <-time.After(min(time.Until(due), time.Until(until))):
 		}
 		if !time.Now().Before(until) {
 			return v
@@ -60,20 +65,23 @@
 }
 
 // borrow has another instance count a request.
-func (a *Asker) borrow(ctx context.Context, owner locator.Peer, organisation string) (quoter.Verdict, error) {
+func (a *Asker) borrow(ctx context.Context, owner locator.Peer, organisation string) quoter.Verdict {
+	asked := time.Now()
 	r, err := a.Peers.Ask(ctx, owner, &wire.SpendRequest{Organisation: organisation})
+	now := time.Now()
 	if err != nil {
-		return quoter.Verdict{Outcome: quoter.Unknown, Peer: owner.Name}, err
+		a.turns.done(now, asked, organisation, false)
+		return quoter.Verdict{Outcome: quoter.Unknown, Peer: owner.Name}
 	}
-	now := time.Now()
 	out := quoter.Verdict{
 		Outcome: quoter.Outcome(slices.Index(outcomes, r.GetOutcome())), Retry: now.Add(time.Duration(r.GetRetry())), Held: r.GetHeld(), Used: r.GetUsed(),
 		Since: now.Add(-time.Duration(r.GetAge())), Peer: owner.Name,
 	}
+	a.turns.done(now, asked, organisation, out.Outcome != quoter.Unknown)
 	if out.Outcome == quoter.Granted {
 		out.At = now
 	}
-	return out, nil
+	return out
 }
 
 // outcomes are what outcomes are called between instances.
--- a/entry/internal/asker/asker.go
+++ b/entry/internal/asker/asker.go
@@ -61,6 +61,7 @@
 	answered chan struct{}
 	wake     chan struct{}
 	failing  bool
+	turns    turns
 	// plan, entries and near are what the holder was last fitted to.
 	plan    *wire.Plan
 	entries int
--- a/entry/internal/asker/asker_test.go
+++ b/entry/internal/asker/asker_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +62,8 @@
 	askers     map[string]*Asker
 	dead       map[string]bool
 	peers      []locator.Peer
+	// asked counts the questions between instances.
+	asked atomic.Int32
 }
 
 func (r *region) Controller() (netip.AddrPort, bool) { return r.address, true }
@@ -75,6 +78,7 @@
 }
 
 func (r *region) Ask(ctx context.Context, owner locator.Peer, s *wire.SpendRequest) (*wire.SpendResponse, error) {
+	r.asked.Add(1)
 	if owner.Name == "frozen" {
 		r.dead[owner.Name] = true
 		return nil, &quoter.SuspendedError{}
@@ -194,3 +198,22 @@
 		is.Equal(r.admit("b").Outcome, quoter.Granted)
 	}
 }
+
+// Guards against an instance that has no time left to follow the plan: while the one that counts for its region does not
+// know an organisation, each waiting request asked it again every few milliseconds.
+func TestWaitingRequestsDoNotAskInAStorm(t *testing.T) {
+	is := is.New(t)
+	r := begin(t, "a", "b")
+	older := plan()
+	older.Organisations = nil
+	r.askers["a"].Follow(time.Now(), r.view(older))
+	const requests = 50
+	var waiting sync.WaitGroup
+	for range requests {
+		waiting.Go(func() { r.admit("b") })
+	}
+	waiting.Wait()
+	is.True(r.asked.Load() < 2*requests)
+	r.askers["a"].Follow(time.Now(), r.view(plan()))
+	is.Equal(r.admit("b").Outcome, quoter.Granted)
+}
