Look-ups name instances that start while they are more than the ready ones

Callers and operators saw one entry instance work by the plan before the newest 9 to 14 s after the end of all processes. Cause: after a restart of all, look-ups named only the instances that already knew a plan, a few of 84 for half a second; everybody asked just then, and 150 to 180 requests a second with their bodies filled their links of 2 Mbit/s, so that the controllers' answers came past their time limit. Ruled out: the processor (timers exact), the controllers.

--- a/controller/internal/steerer/steerer.go
+++ b/controller/internal/steerer/steerer.go
@@ -30,22 +30,47 @@
 
 // Steer returns the entry instances for a client of a region and availability zone, and until when that holds.
 func (s *Steerer) Steer(client netip.Addr, region, _ string, now time.Time) ([]netip.AddrPort, time.Time) {
-	var near, all []netip.AddrPort
+	var near, all group
 	for _, seen := range s.Sightings.Entries() {
 		n := seen.GetNode()
 		address, err := netip.ParseAddrPort(n.GetCaller())
-		if err != nil || n.GetLeaving() {
+		if err != nil || n.GetLeaving() && !n.GetStarting() {
 			continue
 		}
-		all = append(all, address)
+		all.add(address, n.GetStarting())
 		if n.GetRegion() == region {
-			near = append(near, address)
+			near.add(address, n.GetStarting())
 		}
 	}
-	if len(near) == 0 {
+	if near.empty() {
 		near = all
 	}
-	return some(client, near), now.Add(answerLife)
+	return some(client, near.named()), now.Add(answerLife)
+}
+
+// group is the entry instances that may serve a client.
+type group struct {
+	ready, starting []netip.AddrPort
+}
+
+func (g *group) add(a netip.AddrPort, starting bool) {
+	if starting {
+		g.starting = append(g.starting, a)
+		return
+	}
+	g.ready = append(g.ready, a)
+}
+
+func (g *group) empty() bool { return len(g.ready)+len(g.starting) == 0 }
+
+// named lists the instances to use: those that are ready, and the starting ones as long as they are more. After a restart
+// of all, the first few that are ready would else get everybody's requests for as long as clients keep their answers,
+// and have no room left for what the controllers tell them.
+func (g *group) named() []netip.AddrPort {
+	if len(g.ready) >= len(g.starting) {
+		return g.ready
+	}
+	return slices.Concat(g.ready, g.starting)
 }
 
 // some names as many as fit, from a place in the list that differs between clients: the first of the list alone would
--- a/controller/internal/steerer/steerer_test.go
+++ b/controller/internal/steerer/steerer_test.go
@@ -57,3 +57,25 @@
 	is := is.New(t)
 	is.Equal(len(named(&Steerer{Sightings: entries("far", 3)}, "near", 10)), 3)
 }
+
+// Guards against callers that all meet at the first instances which are ready after a restart of all.
+func TestFewReadyInstancesDoNotGetEverybody(t *testing.T) {
+	for ready, want := range map[int]int{0: 28, 2: 28, 13: 28, 14: 14, 27: 27} {
+		t.Run(fmt.Sprint(ready), func(t *testing.T) {
+			seen := entries("r", 28)
+			for _, s := range seen[ready:] {
+				s.Node.Leaving, s.Node.Starting = true, true
+			}
+			is.New(t).Equal(len(named(&Steerer{Sightings: seen}, "r", 10)), want)
+		})
+	}
+}
+
+// Guards against clients that are sent to instances which stop, however few others there are.
+func TestInstancesThatStopAreNotNamed(t *testing.T) {
+	seen := entries("r", 28)
+	for _, s := range seen[1:] {
+		s.Node.Leaving = true
+	}
+	is.New(t).Equal(len(named(&Steerer{Sightings: seen}, "r", 10)), 1)
+}
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -232,6 +232,7 @@
 	return &wire.Node{
 		Name: w.Node.GetName(), Incarnation: w.Node.GetIncarnation(), Caller: w.Node.GetCaller(), Peer: w.Node.GetPeer(),
 		Region: w.Node.GetRegion(), Zone: w.Node.GetZone(), Leaving: blind || w.teller.leaving.Load(),
+		Starting: blind && !w.teller.leaving.Load(),
 	}
 }
 
