Orders whose caller has gone are not carried out

A controller that stood still finds in its sockets the orders that were sent to it meanwhile; operators have sent them again elsewhere, and others since. Carried out late, an order to evacuate a zone would undo its taking back, and one to take it back would let requests in again.

Changer refuses commands, also those that another controller passed on, whose caller's connection is closed (listener.Left, which asks the kernel: Go's server learns of it a moment after the request). What the kernel knows of a connection is now asked in one package, prober; the pooler's own look at idle connections moved there.

--- a/controller/internal/changer/changer.go
+++ b/controller/internal/changer/changer.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/controller/internal/consenter"
+	"chervilrail.example/core/listener"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/wire"
 )
@@ -74,6 +75,9 @@
 }
 
 func (c *Changer) run(ctx context.Context, what string, command *wire.Command) (*wire.Result, error) {
+	if listener.Left(ctx) {
+		return nil, c.unwanted(what)
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	result, err := c.Mind.Propose(ctx, command)
@@ -88,10 +92,29 @@
 	return result, nil
 }
 
+// unwanted refuses a command whose caller has gone. It sent the command again elsewhere, and may have sent others since:
+// carried out now, an order would undo a later one that was acknowledged.
+func (c *Changer) unwanted(what string) error {
+	err := &LeftError{Command: what}
+	_ = level.Warn(c.Logger).Log("msg", "command not carried out", "command", what, "err", err)
+	return err
+}
+
+// LeftError says that a command was not carried out, for its caller had gone before.
+type LeftError struct {
+	Command string
+}
+
+// Error implements error.
+func (e *LeftError) Error() string { return "the caller of " + e.Command + " has gone" }
+
 // Submit implements the call from other controllers.
 func (c *Changer) Submit(
 	ctx context.Context, r *connect.Request[wire.SubmitRequest],
 ) (*connect.Response[wire.SubmitResponse], error) {
+	if listener.Left(ctx) {
+		return nil, connect.NewError(connect.CodeCanceled, c.unwanted("submit"))
+	}
 	result, err := c.Mind.Propose(ctx, r.Msg.GetCommand())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/prober"
 	"chervilrail.example/core/securer"
 )
 
@@ -53,6 +55,7 @@
 		IdleTimeout:       IdleTimeout,
 		MaxHeaderBytes:    MaxHeader,
 		Protocols:         protocols,
+		ConnContext:       withConn,
 	}
 	if l.Keys != nil {
 		config, err := l.Keys.Server()
@@ -83,6 +86,26 @@
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Left reports whether the caller of a request has closed its connection. The server learns of it a moment after the
+// request itself: of one that lay in the kernel while this process was suspended, both come at once.
+func Left(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return ctx.Err() != nil
+	}
+	if secured, ok := c.(*tls.Conn); ok {
+		c = secured.NetConn()
+	}
+	return ctx.Err() != nil || prober.Closed(c)
+}
+
 // Stop refuses new connections and waits for requests in progress.
 func (l *Listener) Stop(ctx context.Context) error {
 	if l.server == nil {
--- a/core/resetter/resetter.go
+++ b/core/resetter/resetter.go
@@ -5,27 +5,10 @@
 import (
 	"context"
 	"net"
-	"syscall"
 
-	"golang.org/x/sys/unix"
+	"chervilrail.example/core/prober"
 )
 
-// Unacknowledged returns how many bytes that were written to a connection the other machine has not acknowledged; false
-// if the connection or the system doesn't tell.
-func Unacknowledged(c net.Conn) (int, bool) {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	count, failure := 0, error(nil)
-	err = raw.Control(func(fd uintptr) { count, failure = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
-	return count, err == nil && failure == nil
-}
-
 // Reset closes a connection and drops what the other machine has not acknowledged.
 func Reset(c net.Conn) error {
 	if socket, ok := c.(interface{ SetLinger(seconds int) error }); ok {
@@ -41,7 +24,7 @@
 
 // Close closes the connection; nothing that is on its way arrives later.
 func (c *Conn) Close() error {
-	if held, ok := Unacknowledged(c.TCPConn); ok && held == 0 {
+	if held, ok := prober.Unacknowledged(c.TCPConn); ok && held == 0 {
 		return c.TCPConn.Close()
 	}
 	return Reset(c.TCPConn)
--- a/core/resetter/resetter_test.go
+++ b/core/resetter/resetter_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 	"golang.org/x/sys/unix"
+
+	"chervilrail.example/core/prober"
 )
 
 const (
@@ -52,25 +54,18 @@
 	_, err := near.Write(make([]byte, much))
 	is.NoErr(err)
 	time.Sleep(50 * time.Millisecond)
-	count, ok := Unacknowledged(near)
+	count, ok := prober.Unacknowledged(near)
 	is.True(ok)
 	is.True(count > 0 && count < much)
 	_, err = io.ReadFull(far, make([]byte, much))
 	is.NoErr(err)
 	for end := time.Now().Add(patience); count > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
-		count, ok = Unacknowledged(near)
+		count, ok = prober.Unacknowledged(near)
 		is.True(ok)
 	}
 	is.Equal(count, 0)
 }
 
-func TestConnectionsThatAreNoSocketsDoNotTell(t *testing.T) {
-	near, far := net.Pipe()
-	defer func() { _, _ = near.Close(), far.Close() }()
-	_, ok := Unacknowledged(near)
-	is.New(t).True(!ok)
-}
-
 // Guards against bytes that arrive seconds after their sender gave them up.
 func TestWhatIsOnItsWayIsDropped(t *testing.T) {
 	for name, end := range map[string]func(c *Conn) error{
--- a/entry/internal/pooler/idle.go
+++ b/entry/internal/pooler/idle.go
@@ -1,11 +1,9 @@
 package pooler
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -20,24 +18,3 @@
 	}
 	return idleLife
 }
-
-// quiet reports whether an idle connection is still open and has nothing to read. A target that closed it would
-// reset the request; bytes that nobody asked for would be taken for its answer.
-func quiet(c net.Conn) bool {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ok = false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ok = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && ok
-}
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"chervilrail.example/core/prober"
 	"chervilrail.example/core/resetter"
 )
 
@@ -124,7 +125,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.idleEnd) && quiet(c.Conn) {
+		if time.Now().Before(c.idleEnd) && prober.Quiet(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -191,7 +192,7 @@
 		if c.address != address || !f.started.Before(before) {
 			continue
 		}
-		if held, ok := resetter.Unacknowledged(c.Conn); ok && held >= f.bytes {
+		if held, ok := prober.Unacknowledged(c.Conn); ok && held >= f.bytes {
 			_ = c.SetDeadline(time.Unix(1, 0))
 			count++
 		}
@@ -340,7 +341,7 @@
 
 // held tells of bytes that the target's machine has not acknowledged at the end of a failed attempt.
 func (c *conn) held(err error) error {
-	bytes, ok := resetter.Unacknowledged(c.Conn)
+	bytes, ok := prober.Unacknowledged(c.Conn)
 	if !ok || bytes == 0 {
 		return err
 	}
