An instance is left out only for its own silence, and that is told once

Two faults of asking another instance to count a request: where the caller of the request left, the instance asked was taken for dead and left out for a second, with the parts of quotas that it holds for its region; and each question that a dead one did not answer was a log line, 40 to 90 a second on the busy instances after a restart of all.

Both tests failed before: TestCallersThatLeaveSayNothingOfTheInstanceAsked, TestAnInstanceThatDoesNotAnswerIsToldOnce.

--- a/entry/internal/locator/locator.go
+++ b/entry/internal/locator/locator.go
@@ -136,8 +136,12 @@
 
 func (l *Locator) leaveOut(now time.Time, owner Peer, err error) {
 	l.mu.Lock()
+	known := time.Now().Before(l.shunned[owner.Name])
 	l.shunned[owner.Name] = now.Add(shun)
 	l.mu.Unlock()
+	if known {
+		return
+	}
 	_ = level.Info(l.Logger).Log("msg", "entry instance does not answer", "peer", owner.Name, "address", owner.Address,
 		"err", err)
 }
@@ -176,14 +180,17 @@
 // Ask has another instance count a request, or take one back.
 func (l *Locator) Ask(ctx context.Context, owner Peer, r *wire.SpendRequest) (*wire.SpendResponse, error) {
 	now := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
+	bounded, cancel := context.WithTimeout(ctx, spendTimeout)
 	defer cancel()
-	response, err := wireconnect.NewPlacementClient(l.client, l.Dialer.URL(owner.Address)).Spend(ctx, connect.NewRequest(r))
-	if err != nil {
+	client := wireconnect.NewPlacementClient(l.client, l.Dialer.URL(owner.Address))
+	response, err := client.Spend(bounded, connect.NewRequest(r))
+	if err == nil {
+		return response.Msg, nil
+	}
+	if ctx.Err() == nil {
 		l.leaveOut(now, owner, err)
-		return nil, err
 	}
-	return response.Msg, nil
+	return nil, err
 }
 
 // Spend answers another instance.
--- a/entry/internal/locator/locator_test.go
+++ b/entry/internal/locator/locator_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/placer"
+	"chervilrail.example/core/wire"
 )
 
 // book is what one instance would answer; it remembers what it was asked.
@@ -107,3 +109,40 @@
 		is.New(t).Equal(l.Locate(t.Context(), nil, "s", placer.Ask{Object: object}).Target, "t1")
 	})
 }
+
+// Guards against an instance that is left out, and its parts of quotas with it, for the caller of a question has left.
+func TestCallersThatLeaveSayNothingOfTheInstanceAsked(t *testing.T) {
+	for name, leaves := range map[string]bool{"leaves": true, "stays": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			release := make(chan struct{})
+			hangs := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })
+			l := begin(t, "a", &book{})
+			peers := []Peer{{"a", netip.AddrPort{}}, {"slow", serve(t, hangs)}}
+			t.Cleanup(func() { close(release) })
+			object := placer.ObjectOf(objectOf(l, peers, "slow"))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if leaves {
+				time.AfterFunc(spendTimeout/4, cancel)
+			}
+			_, err := l.Ask(ctx, peers[1], &wire.SpendRequest{})
+			is.True(err != nil)
+			is.Equal(l.Owner(peers, object).Name == "slow", leaves)
+		})
+	}
+}
+
+// Guards against thousands of lines in the second after an instance has died: one tells that it does not answer.
+func TestAnInstanceThatDoesNotAnswerIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	var lines atomic.Int32
+	l := begin(t, "a", &book{})
+	l.Logger = log.LoggerFunc(func(...any) error { lines.Add(1); return nil })
+	dead := Peer{"dead", netip.MustParseAddrPort("127.0.0.1:1")}
+	for range 20 {
+		_, err := l.Ask(t.Context(), dead, &wire.SpendRequest{})
+		is.True(err != nil)
+	}
+	is.Equal(lines.Load(), int32(1))
+}
