--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -96,14 +96,14 @@
 // Left reports whether the caller of a request has closed its connection. The server learns of it a moment after the
 // request itself: of one that lay in the kernel while this process was suspended, both come at once.
 func Left(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(net.Conn)
-	if !ok {
-		return ctx.Err() != nil
+	if ctx.Err() != nil {
+		return true
 	}
-	if secured, ok := c.(*tls.Conn); ok {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if secured, encrypted := c.(*tls.Conn); encrypted {
 		c = secured.NetConn()
 	}
-	return ctx.Err() != nil || prober.Closed(c)
+	return ok && prober.Closed(c)
 }
 
 // Stop refuses new connections and waits for requests in progress.
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -76,12 +76,6 @@
 	flights map[*conn]flight
 }
 
-// flight is a request at a target or on its way there.
-type flight struct {
-	bytes   int
-	started time.Time
-}
-
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
@@ -167,39 +161,6 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-func (p *Pooler) launch(c *conn, bytes int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.flights == nil {
-		p.flights = map[*conn]flight{}
-	}
-	p.flights[c] = flight{bytes: bytes, started: time.Now()}
-}
-
-func (p *Pooler) land(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.flights, c)
-}
-
-// Recall gives up the requests that were sent to a target before a time and of which its machine has acknowledged
-// nothing, and returns how many. Their attempts end as broken.
-func (p *Pooler) Recall(address netip.AddrPort, before time.Time) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	count := 0
-	for c, f := range p.flights {
-		if c.address != address || !f.started.Before(before) {
-			continue
-		}
-		if held, ok := prober.Unacknowledged(c.Conn); ok && held >= f.bytes {
-			_ = c.SetDeadline(time.Unix(1, 0))
-			count++
-		}
-	}
-	return count
-}
-
 // Retire closes the idle connections to a target. Those that were forgotten by something on the way are often
 // forgotten together.
 func (p *Pooler) Retire(address netip.AddrPort) {
@@ -322,32 +283,6 @@
 // Error implements error.
 func (e *SizeError) Error() string { return "too large an answer from " + e.Address.String() }
 
-// HeldError says that a request was given up before the target's machine had all of it.
-type HeldError struct {
-	Address netip.AddrPort
-	// Bytes is how much was written and not acknowledged.
-	Bytes int
-	// Err is how the attempt ended.
-	Err error
-}
-
-// Error implements error.
-func (e *HeldError) Error() string {
-	return strconv.Itoa(e.Bytes) + " bytes on the way to " + e.Address.String() + ": " + e.Err.Error()
-}
-
-// Unwrap returns how the attempt ended.
-func (e *HeldError) Unwrap() error { return e.Err }
-
-// held tells of bytes that the target's machine has not acknowledged at the end of a failed attempt.
-func (c *conn) held(err error) error {
-	bytes, ok := prober.Unacknowledged(c.Conn)
-	if !ok || bytes == 0 {
-		return err
-	}
-	return &HeldError{Address: c.address, Bytes: bytes, Err: err}
-}
-
 // Refused reports whether an error shows that nothing listens at the address.
 func Refused(err error) bool {
 	var op *net.OpError
