--- a/entry/internal/asker/turns.go
+++ b/entry/internal/asker/turns.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// maxAgain bounds the pause between two questions about an organisation that bring nothing.
-const maxAgain = 320 * time.Millisecond
+const (
+	// maxAgain bounds the pause between two questions about an organisation that bring nothing.
+	maxAgain = 320 * time.Millisecond
+	// maxMisses is from how many of them on the pause is the longest at any rate.
+	maxMisses = 8
+)
 
 // turns spaces out the questions about each organisation while nobody knows its quota. Every waiting request would else
 // ask again and again: the questions take the time that this instance needs to learn whom to ask. The zero value is
@@ -18,10 +22,16 @@
 
 // turn is the pace of the questions about one organisation.
 type turn struct {
-	pause time.Duration
-	// due is when the next question may be asked, failed when the last one ended that brought nothing.
-	due    time.Time
+	// misses is how many questions in a row brought nothing, failed when the last of them ended.
+	misses int
 	failed time.Time
+	// due is when the next question may be asked.
+	due time.Time
+}
+
+// pause is how long the next question waits: twice as long after each that brought nothing.
+func (t *turn) pause() time.Duration {
+	return min(maxAgain, again<<(min(t.misses, maxMisses)-1))
 }
 
 // take reports whether a question may be asked now, and else when to come again.
@@ -33,7 +43,7 @@
 		return paced.due, false
 	}
 	if ok {
-		paced.due = now.Add(paced.pause)
+		paced.due = now.Add(paced.pause())
 		t.paced[organisation] = paced
 	}
 	return now, true
@@ -52,8 +62,8 @@
 		// It was asked beside one that has slowed the pace already.
 		return
 	}
-	paced.pause = min(maxAgain, max(again, 2*paced.pause))
-	paced.due, paced.failed = now.Add(paced.pause), now
+	paced.misses++
+	paced.due, paced.failed = now.Add(paced.pause()), now
 	if t.paced == nil {
 		t.paced = map[string]turn{}
 	}
