Requests wait a moment for an instance's first plan

A request now waits up to 300 ms for the first plan; after that it is refused as before. TestRequestsWaitForTheFirstPlan failed before (503).

--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -30,6 +30,8 @@
 	// tendEvery is how often waiting requests are looked after when nothing else happens.
 	tendEvery  = 20 * time.Millisecond
 	sweepEvery = time.Second
+	// blindWait is how long a request waits for the first plan.
+	blindWait = 300 * time.Millisecond
 	// blindPause is after what a caller is asked back when no plan is known yet.
 	blindPause = 500 * time.Millisecond
 )
@@ -265,11 +267,33 @@
 	c.answer(w, j, out)
 }
 
+// firstView returns the newest view. An instance that starts has none for a moment; callers are sent to it by then, and
+// their requests wait that long.
+func (c *Carrier) firstView(j *job) *watcher.View {
+	if view := c.Views.View(); view != nil {
+		return view
+	}
+	ctx, cancel := context.WithDeadline(j.request.Context(), j.started.Add(blindWait))
+	defer cancel()
+	ticker := time.NewTicker(tendEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return c.Views.View()
+		case <-ticker.C:
+		}
+		if view := c.Views.View(); view != nil {
+			return view
+		}
+	}
+}
+
 // carry takes a request through its decisions, in order, to its result.
 func (c *Carrier) carry(j *job) result {
-	j.view = c.Views.View()
+	j.view = c.firstView(j)
 	if j.view == nil {
-		return refuse(http.StatusServiceUnavailable, "blind", j.started.Add(blindPause))
+		return refuse(http.StatusServiceUnavailable, "blind", time.Now().Add(blindPause))
 	}
 	if out := c.prepare(j); out != nil {
 		return *out
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,9 +93,16 @@
 func (s *targets) Sweep(time.Time)       {}
 func (s *targets) Close()                {}
 
-type views struct{ view *watcher.View }
+type views struct{ view atomic.Pointer[watcher.View] }
 
-func (v *views) View() *watcher.View    { return v.view }
+// seen returns views of which the newest is known.
+func seen(view *watcher.View) *views {
+	v := &views{}
+	v.view.Store(view)
+	return v
+}
+
+func (v *views) View() *watcher.View    { return v.view.Load() }
 func (v *views) Report(*wire.Loss)      {}
 func (v *views) Settle(*wire.Host)      {}
 func (v *views) Observe(gauger.Reading) {}
@@ -140,7 +148,7 @@
 		Table: planner.NewTable(plan()), Targets: map[string][]placer.Spec{"listings": specs}, Entries: 1,
 	}
 	c := &Carrier{
-		Self: "e1", Locator: alone{}, Quotas: unbounded{}, Region: "r", Zone: "z", Face: translator.Face{}, Views: &views{view}, Sender: s,
+		Self: "e1", Locator: alone{}, Quotas: unbounded{}, Region: "r", Zone: "z", Face: translator.Face{}, Views: seen(view), Sender: s,
 		Quarantine: &quarantiner.Quarantiner{Confirm: 3}, Logger: log.NewNopLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
 	is.New(t).NoErr(c.Start(context.Background(), nil))
@@ -286,6 +294,17 @@
 	is.Equal(w.Code, http.StatusServiceUnavailable) // never 404: what is not known may exist
 }
 
+// Guards against callers that are refused by an instance which is named to them and knows the plan a moment later.
+func TestRequestsWaitForTheFirstPlan(t *testing.T) {
+	is := is.New(t)
+	c, _ := begin(t, signed(200))
+	view := c.Views.View()
+	first := &views{}
+	c.Views = first
+	time.AfterFunc(blindWait/2, func() { first.view.Store(view) })
+	is.Equal(ask(c, http.MethodPost, "/once/1").Code, http.StatusOK)
+}
+
 // An instance is being stopped. Requests are still served, and each answer sends its caller elsewhere.
 func TestStopping(t *testing.T) {
 	is := is.New(t)
--- a/entry/internal/carrier/organisation_test.go
+++ b/entry/internal/carrier/organisation_test.go
@@ -55,7 +55,7 @@
 		{Name: "acme", Keys: []string{secret}}, {Name: "bound", Keys: []string{"bound"}, Regions: []string{"q"}},
 	}
 	view.Table = planner.NewTable(planner.Seal(p))
-	c.Views = &views{&view}
+	c.Views = seen(&view)
 }
 
 func askWith(c *Carrier, path string, header http.Header) *httptest.ResponseRecorder {
