--- a/core/dialer/dialer_test.go
+++ b/core/dialer/dialer_test.go
@@ -22,14 +22,14 @@
 func TestCallThatWasGivenUpNeverRuns(t *testing.T) {
 	is := is.New(t)
 	ran := make(chan string, 8)
-	var accepted net.Conn
+	opened := make(chan net.Conn, 8)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		ran <- string(body)
 	}))
 	server.Config.ConnState = func(c net.Conn, s http.ConnState) {
 		if s == http.StateNew {
-			accepted = c
+			opened <- c
 		}
 	}
 	server.Start()
@@ -49,6 +49,7 @@
 	}
 	is.NoErr(call("first"))
 	is.Equal(<-ran, "first")
+	accepted := <-opened
 	drop(t, accepted, true)
 	is.True(call("given up") != nil)
 	drop(t, accepted, false)
--- a/entry/internal/asker/asker_test.go
+++ b/entry/internal/asker/asker_test.go
@@ -60,6 +60,7 @@
 	controller *controller
 	address    netip.AddrPort
 	askers     map[string]*Asker
+	mu         sync.Mutex
 	dead       map[string]bool
 	peers      []locator.Peer
 	// asked counts the questions between instances.
@@ -69,6 +70,8 @@
 func (r *region) Controller() (netip.AddrPort, bool) { return r.address, true }
 
 func (r *region) Owner(peers []locator.Peer, _ uint64) locator.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, p := range peers {
 		if !r.dead[p.Name] {
 			return p
@@ -80,7 +83,9 @@
 func (r *region) Ask(ctx context.Context, owner locator.Peer, s *wire.SpendRequest) (*wire.SpendResponse, error) {
 	r.asked.Add(1)
 	if owner.Name == "frozen" {
+		r.mu.Lock()
 		r.dead[owner.Name] = true
+		r.mu.Unlock()
 		return nil, &quoter.SuspendedError{}
 	}
 	return r.askers[owner.Name].Spend(ctx, s), nil
