Count the work of a controller, as metrics and in a line every five seconds

What the controllers do there could not be told: metrics of an overloaded process are not fetched, and its log had no sums.

Change: announcements (abandoned, moved, published), answered watches and the records in them, exchanges and their records, messages of the consensus, open and accepted connections of callers.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -18,6 +18,7 @@
 	"chervilrail.example/controller/internal/changer"
 	"chervilrail.example/controller/internal/config"
 	"chervilrail.example/controller/internal/consenter"
+	"chervilrail.example/controller/internal/counter"
 	"chervilrail.example/controller/internal/courier"
 	"chervilrail.example/controller/internal/exchanger"
 	"chervilrail.example/controller/internal/selector"
@@ -161,20 +162,22 @@
 		Logger: logs,
 		Fatal:  fatal,
 	}
+	work := &counter.Counter{Logger: logs}
 	exchange := &exchanger.Exchanger{
 		Self: settings.Name, Region: settings.Region, Consensus: consensus,
 		Dialer:    &dialer.Dialer{Keys: controlKeys, HTTP1Only: true},
-		HostStore: &storer.HostStore{Folder: settings.Folder}, Logger: logs,
+		HostStore: &storer.HostStore{Folder: settings.Folder}, Counter: work, Logger: logs,
 	}
 	consensus.OnRoutingChange = exchange.NotifyWatchers
 	change := &changer.Changer{Consensus: consensus, Forwarder: exchange, Logger: logs}
 	allocate := &allocator.Allocator{Consensus: consensus, Forwarder: exchange, Logger: logs}
 	handlers := &server.Server{
 		Consensus: consensus, Token: settings.Token, Exchanger: exchange, Changer: change, Allocator: allocate,
+		Counter: work,
 	}
 	operator := handlers.Operator()
 	k := &kernel.Kernel{Logger: logs, StopTimeout: settings.StopTimeout, Fatal: fatal}
-	registry.MustRegister(&server.Collector{Summary: consensus.Summary})
+	registry.MustRegister(&server.Collector{Summary: consensus.Summary}, work)
 	reporter.Mount(operator, registry, k)
 	k.Services = []kernel.Service{
 		sender,
@@ -191,21 +194,38 @@
 			Logger:      logs,
 		},
 	}
-	k.Services = append(k.Services, platformListeners(settings, &translator.PlatformHandler{
+	k.Services = append(k.Services, work)
+	k.Services = append(k.Services, platformListeners(settings, work, &translator.PlatformHandler{
 		Changer: change, TargetRegistry: exchange, Selector: &selector.Selector{InstanceLister: exchange},
 		Regions: settings.Regions, Logger: logs,
 	})...)
 	return k, closeLog
 }
 
+// sumConnections returns how many connections of some listeners are open, and how many they have accepted.
+func sumConnections(listeners []*listener.Listener) (open, accepted int64) {
+	for _, l := range listeners {
+		o, a := l.Connections()
+		open += o
+		accepted += a
+	}
+	return open, accepted
+}
+
 // platformListeners returns the listeners for calls of the users' platform, as far as the settings define their
-// addresses.
-func platformListeners(settings *config.Config, handler *translator.PlatformHandler) []kernel.Service {
+// addresses. The counter reports their connections.
+func platformListeners(
+	settings *config.Config, work *counter.Counter, handler *translator.PlatformHandler,
+) []kernel.Service {
+	var listeners []*listener.Listener
 	var out []kernel.Service
 	for title, address := range map[string]netip.AddrPort{"callers": settings.Callers, "directory": settings.Directory} {
 		if address.IsValid() {
-			out = append(out, &listener.Listener{ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger})
+			l := &listener.Listener{ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger}
+			listeners = append(listeners, l)
+			out = append(out, l)
 		}
 	}
+	work.Connections = func() (int64, int64) { return sumConnections(listeners) }
 	return out
 }
--- /dev/null
+++ b/controller/internal/counter/counter.go
@@ -0,0 +1,147 @@
+// Package counter counts what a controller does. The sums are metrics, and a log line at an interval: while a controller
+// is overloaded nobody gets its metrics, and that is when the sums are needed.
+package counter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilrail.example/core/kernel"
+)
+
+// Kind is a kind of work that is counted.
+type Kind int
+
+const (
+	// Announcements are those of targets.
+	Announcements Kind = iota
+	// Abandoned are announcements whose caller had closed its connection before they were worked on.
+	Abandoned
+	// Moved are announcements of targets that announced themselves to another controller before.
+	Moved
+	// Published are announcements that all other controllers and all entry instances receive.
+	Published
+	// Watches are answered calls of entry instances for changes.
+	Watches
+	// WatchedRecords are the targets' records in the answers to Watches.
+	WatchedRecords
+	// Exchanges are those that this controller began.
+	Exchanges
+	// ExchangedRecords are the targets' records sent in Exchanges.
+	ExchangedRecords
+	// Received are the exchanges of other controllers.
+	Received
+	// Delivered are the replicator's messages from other controllers.
+	Delivered
+	kinds
+)
+
+// names are the labels of the kinds in metrics and logs.
+var names = [kinds]string{
+	"announcements", "abandoned", "moved", "published", "watches", "watchedRecords", "exchanges", "exchangedRecords",
+	"received", "delivered",
+}
+
+// logInterval is the interval of the log lines.
+const logInterval = 5 * time.Second
+
+// Counter is the service. Its zero value counts; set the exported fields before Start.
+type Counter struct {
+	Logger log.Logger
+	// Connections returns how many connections of callers are open, and how many have been accepted in all.
+	Connections func() (open, accepted int64)
+
+	sums   [kinds]atomic.Uint64
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Add adds to the sum of a kind.
+func (c *Counter) Add(kind Kind, n int) { c.sums[kind].Add(uint64(n)) }
+
+// Sum returns the sum of a kind since the start of the process.
+func (c *Counter) Sum(kind Kind) uint64 { return c.sums[kind].Load() }
+
+// Name implements kernel.Service.
+func (c *Counter) Name() string { return "counter" }
+
+// Start implements kernel.Service.
+func (c *Counter) Start(context.Context, kernel.Finder) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel, c.done = cancel, make(chan struct{})
+	go c.run(ctx)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (c *Counter) Stop(context.Context) error {
+	if c.cancel != nil {
+		c.cancel()
+		<-c.done
+	}
+	return nil
+}
+
+// Health implements kernel.Service; it always returns nil.
+func (c *Counter) Health() error { return nil }
+
+func (c *Counter) run(ctx context.Context) {
+	defer close(c.done)
+	ticker := time.NewTicker(logInterval)
+	defer ticker.Stop()
+	last := sums{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			last = c.logWork(last)
+		}
+	}
+}
+
+// sums are all sums at one moment.
+type sums struct {
+	work     [kinds]uint64
+	accepted int64
+}
+
+// logWork logs what has been done since the last sums, and returns the present ones.
+func (c *Counter) logWork(last sums) sums {
+	now := sums{}
+	open, accepted := c.Connections()
+	now.accepted = accepted
+	line := []any{"msg", "work", "interval", logInterval, "open", open, "accepted", accepted - last.accepted}
+	for kind := range kinds {
+		now.work[kind] = c.Sum(kind)
+		line = append(line, names[kind], now.work[kind]-last.work[kind])
+	}
+	_ = level.Info(c.Logger).Log(line...)
+	return now
+}
+
+var (
+	workDesc = prometheus.NewDesc("chervilrail_controller_work_total", "What the controller has done, by kind.",
+		[]string{"kind"}, nil)
+	openDesc = prometheus.NewDesc("chervilrail_controller_connections", "Open connections of callers.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *Counter) Describe(ch chan<- *prometheus.Desc) {
+	ch <- workDesc
+	ch <- openDesc
+}
+
+// Collect implements prometheus.Collector.
+func (c *Counter) Collect(ch chan<- prometheus.Metric) {
+	for kind := range kinds {
+		ch <- prometheus.MustNewConstMetric(workDesc, prometheus.CounterValue, float64(c.Sum(kind)), names[kind])
+	}
+	open, _ := c.Connections()
+	ch <- prometheus.MustNewConstMetric(openDesc, prometheus.GaugeValue, float64(open))
+}
--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -7,6 +7,8 @@
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
+	"chervilrail.example/controller/internal/counter"
+	"chervilrail.example/core/listener"
 	"chervilrail.example/core/registrar"
 	"chervilrail.example/core/wire"
 )
@@ -31,10 +33,13 @@
 
 // accept records an announcement and, unless the target is ready, waits for a majority of the voters to acknowledge it.
 func (x *Exchanger) accept(ctx context.Context, r *wire.Record) error {
-	var counter uint64
+	var position uint64
 	x.update(func(now time.Time) {
 		old, known := x.gossip.Target(r.GetName())
-		counter = x.gossip.Announce(now, r)
+		moved := known && !x.gossip.Announces(r.GetName())
+		before := x.gossip.Counter()
+		position = x.gossip.Announce(now, r)
+		x.countAnnouncement(ctx, moved, x.gossip.Counter() > before)
 		if !known || old.GetState() != r.GetState() || old.GetIncarnation() != r.GetIncarnation() {
 			_ = level.Info(x.Logger).Log("msg", "target announced", "target", r.GetName(), "incarnation", r.GetIncarnation(),
 				"sequence", r.GetSequence(), "service", r.GetService(), "address", r.GetAddress(), "zone", r.GetZone(),
@@ -44,7 +49,18 @@
 	if r.GetState() == wire.TargetState_TARGET_READY {
 		return nil
 	}
-	return x.awaitQuorum(ctx, r.GetName(), counter)
+	return x.awaitQuorum(ctx, r.GetName(), position)
+}
+
+func (x *Exchanger) countAnnouncement(ctx context.Context, moved, published bool) {
+	x.Counter.Add(counter.Announcements, 1)
+	for kind, holds := range map[counter.Kind]bool{
+		counter.Abandoned: listener.CallerDisconnected(ctx), counter.Moved: moved, counter.Published: published,
+	} {
+		if holds {
+			x.Counter.Add(kind, 1)
+		}
+	}
 }
 
 // Leave records that a target has left. An incarnation of zero stands for the one known here. If the target is unknown
@@ -70,14 +86,15 @@
 	return x.accept(ctx, departed)
 }
 
-// awaitQuorum waits until a majority of the voters have acknowledged everything up to a counter of the gossip state.
-func (x *Exchanger) awaitQuorum(ctx context.Context, target string, counter uint64) error {
+// awaitQuorum waits until a majority of the voters have acknowledged everything up to a position, a counter of the
+// gossip state.
+func (x *Exchanger) awaitQuorum(ctx context.Context, target string, position uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, quorumTimeout)
 	defer cancel()
 	for {
 		voters := x.Consensus.Routing().Voters()
 		x.mu.Lock()
-		acknowledged := majority(voters, func(name string) bool { return x.gossip.HasAcknowledged(name, counter) })
+		acknowledged := majority(voters, func(name string) bool { return x.gossip.HasAcknowledged(name, position) })
 		changed := x.changed
 		x.mu.Unlock()
 		if acknowledged {
@@ -87,7 +104,7 @@
 		case <-changed:
 		case <-ctx.Done():
 			_ = level.Warn(x.Logger).Log("msg", "leaving target not acknowledged by a majority",
-				"target", target, "counter", counter)
+				"target", target, "counter", position)
 			return &NoQuorumError{}
 		}
 	}
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/controller/internal/consenter"
+	"chervilrail.example/controller/internal/counter"
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/gossiper"
 	"chervilrail.example/core/kernel"
@@ -47,6 +48,7 @@
 	Dialer    *dialer.Dialer
 	// HostStore keeps the hosts of objects across restarts. If it is nil, they are not stored.
 	HostStore HostStore
+	Counter   *counter.Counter
 	Logger    log.Logger
 
 	mu      sync.Mutex
@@ -236,6 +238,8 @@
 	x.mu.Lock()
 	request := x.gossip.BuildRequest(sent, name)
 	x.mu.Unlock()
+	x.Counter.Add(counter.Exchanges, 1)
+	x.Counter.Add(counter.ExchangedRecords, len(request.GetRecords()))
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	response, err := client.Exchange(ctx, connect.NewRequest(request))
@@ -255,6 +259,7 @@
 func (x *Exchanger) Exchange(
 	_ context.Context, r *connect.Request[wire.ExchangeRequest],
 ) (*connect.Response[wire.ExchangeResponse], error) {
+	x.Counter.Add(counter.Received, 1)
 	var response *wire.ExchangeResponse
 	x.update(func(now time.Time) { response = x.gossip.HandleRequest(now, r.Msg) })
 	return connect.NewResponse(response), nil
--- a/controller/internal/exchanger/exchanger_test.go
+++ b/controller/internal/exchanger/exchanger_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"chervilrail.example/controller/internal/consenter"
+	"chervilrail.example/controller/internal/counter"
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/wire"
@@ -33,7 +34,8 @@
 func startExchanger(t *testing.T, voters ...string) *Exchanger {
 	t.Helper()
 	x := &Exchanger{
-		Self: "c1", Consensus: consensus{voters}, Dialer: &dialer.Dialer{HTTP1Only: true}, Logger: log.NewNopLogger(),
+		Self: "c1", Consensus: consensus{voters}, Dialer: &dialer.Dialer{HTTP1Only: true},
+		Counter: &counter.Counter{}, Logger: log.NewNopLogger(),
 	}
 	is.New(t).NoErr(x.Start(context.Background(), nil))
 	t.Cleanup(func() { is.New(t).NoErr(x.Stop(context.Background())) })
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"chervilrail.example/controller/internal/counter"
 	"chervilrail.example/core/wire"
 )
 
@@ -36,14 +37,14 @@
 		x.mu.Unlock()
 		response, fresh := x.buildResponse(time.Now(), r.Msg)
 		if fresh {
-			return connect.NewResponse(response), nil
+			return x.answerWatch(response), nil
 		}
 		select {
 		case <-changed:
 			time.Sleep(changesDelay)
 		case <-timer.C:
 			response, _ = x.buildResponse(time.Now(), r.Msg)
-			return connect.NewResponse(response), nil
+			return x.answerWatch(response), nil
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 		case <-x.ctx.Done():
@@ -52,6 +53,12 @@
 	}
 }
 
+func (x *Exchanger) answerWatch(response *wire.WatchResponse) *connect.Response[wire.WatchResponse] {
+	x.Counter.Add(counter.Watches, 1)
+	x.Counter.Add(counter.WatchedRecords, len(response.GetRecords()))
+	return connect.NewResponse(response)
+}
+
 // buildResponse builds the response for the current state, and reports whether to send it at once: there are changes
 // that the instance has not seen, or this controller has lost the majority.
 func (x *Exchanger) buildResponse(now time.Time, r *wire.WatchRequest) (*wire.WatchResponse, bool) {
--- a/controller/internal/server/server.go
+++ b/controller/internal/server/server.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 
 	"chervilrail.example/controller/internal/consenter"
+	"chervilrail.example/controller/internal/counter"
 	"chervilrail.example/core/cataloguer"
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/granter"
@@ -65,6 +66,7 @@
 	Exchanger Exchanger
 	Changer   Changer
 	Allocator Allocator
+	Counter   *counter.Counter
 	// Token is the bearer token that operators must send. If it is empty, the operators' service is open to everyone.
 	Token string
 }
@@ -114,6 +116,7 @@
 func (s *Server) Deliver(
 	ctx context.Context, r *connect.Request[wire.DeliverRequest],
 ) (*connect.Response[wire.DeliverResponse], error) {
+	s.Counter.Add(counter.Delivered, len(r.Msg.GetMessages()))
 	if err := s.Consensus.Deliver(ctx, r.Msg.GetMessages()); err != nil {
 		return nil, connectError(err)
 	}
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -122,6 +122,11 @@
 	return m.changed
 }
 
+// Announces reports whether a target announces itself to this controller directly.
+func (g *Gossiper) Announces(name string) bool {
+	return g.statuses[name] != nil && g.statuses[name].direct
+}
+
 // LastChange returns the counter at which a target's record last changed, or 0 if the target is unknown.
 func (g *Gossiper) LastChange(name string) uint64 {
 	if m, ok := g.statuses[name]; ok {
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -38,6 +38,9 @@
 
 	server  *http.Server
 	serving atomic.Bool
+	// open is the number of connections that are open, accepted the number of all since Start.
+	open     atomic.Int64
+	accepted atomic.Int64
 }
 
 // Name implements kernel.Service; it returns ServiceName.
@@ -56,6 +59,7 @@
 		MaxHeaderBytes:    MaxHeader,
 		Protocols:         protocols,
 		ConnContext:       withConn,
+		ConnState:         l.countConnections,
 	}
 	if l.Keys != nil {
 		config, err := l.Keys.ServerConfig()
@@ -86,6 +90,21 @@
 	}
 }
 
+// countConnections keeps count of the connections; the server calls it with each change of a connection's state.
+func (l *Listener) countConnections(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		l.open.Add(1)
+		l.accepted.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		l.open.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// Connections returns how many connections are open, and how many have been accepted since Start.
+func (l *Listener) Connections() (open, accepted int64) { return l.open.Load(), l.accepted.Load() }
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
