Controllers encode a change once for all entry instances, and no call begins anew

Each entry instance got each target encoded and compressed for itself. While three thousand targets announce themselves, this takes a controller of 0.24 of a core longer than the instances wait; they turned to the next controller and asked for everything from the start, so that all of them sent nothing but whole views (0 to 8 messages of the consensus arrived in five seconds). Targets that were not answered in a second did the same: each that turned to another controller was published anew, to all others and to all instances. Exchanges that were not answered in a second were sent again whole, with up to 2,600 records.

Ruled out: the announcements themselves (2,600 in five seconds are worked off while nothing else runs), the connections (a consequence: calls that nobody answers stay open), the processor of the entry instances (1%).

Change: what all instances receive alike is built, encoded and compressed once (packer, sharedChanges), up to a common counter, so that those answered together ask for the same the next time. Ordinary changes are gathered for 150 ms; what takes something out of use goes out at once, as before. Instances keep their position with each controller and space out their retries. A target that turns to another controller is sent to the other controllers only. Exchanges hold 512 records at most, run at most every 100 ms unless urgent, and repairs go in parts and are spaced out while they are in vain. An announcement is compared field by field instead of by two digests.

--- a/controller/internal/counter/counter.go
+++ b/controller/internal/counter/counter.go
@@ -28,8 +28,12 @@
 	Published
 	// Watches are answered calls of entry instances for changes.
 	Watches
-	// WatchedRecords are the targets' records in the answers to Watches.
+	// Sets are the sets of changes that were built for Watches.
+	Sets
+	// WatchedRecords are the targets' records in the answers to Watches, but for the packed ones.
 	WatchedRecords
+	// PackedBytes are the bytes of the packed parts in the answers to Watches.
+	PackedBytes
 	// Exchanges are those that this controller began.
 	Exchanges
 	// ExchangedRecords are the targets' records sent in Exchanges.
@@ -43,7 +47,7 @@
 
 // names are the labels of the kinds in metrics and logs.
 var names = [kinds]string{
-	"announcements", "abandoned", "moved", "published", "watches", "watchedRecords", "exchanges", "exchangedRecords",
+	"announcements", "abandoned", "moved", "published", "watches", "sets", "watchedRecords", "packedBytes", "exchanges", "exchangedRecords",
 	"received", "delivered",
 }
 
--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -95,13 +95,13 @@
 		voters := x.Consensus.Routing().Voters()
 		x.mu.Lock()
 		acknowledged := majority(voters, func(name string) bool { return x.gossip.HasAcknowledged(name, position) })
-		changed := x.changed
+		next := x.acknowledged
 		x.mu.Unlock()
 		if acknowledged {
 			return nil
 		}
 		select {
-		case <-changed:
+		case <-next:
 		case <-ctx.Done():
 			_ = level.Warn(x.Logger).Log("msg", "leaving target not acknowledged by a majority",
 				"target", target, "counter", position)
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -33,6 +33,8 @@
 	// which the target tries another controller.
 	quorumTimeout = 900 * time.Millisecond
 	tickInterval  = 200 * time.Millisecond
+	// exchangeInterval is the minimum time between two exchanges with one controller, unless changes are urgent.
+	exchangeInterval = 100 * time.Millisecond
 )
 
 // Consensus provides the replicated routing state.
@@ -53,8 +55,13 @@
 
 	mu      sync.Mutex
 	gossip  gossiper.Gossiper
+	shared  sharedChanges
 	changed chan struct{}
-	peers   map[string]*peer
+	// ordinaryPending is set while a notification about ordinary changes is scheduled.
+	ordinaryPending bool
+	// acknowledged is closed and replaced when another controller has acknowledged changes.
+	acknowledged chan struct{}
+	peers        map[string]*peer
 	// hadQuorum is the result of hasQuorum that watchers were last notified of.
 	hadQuorum bool
 	// notifiedHosts is the gossip state's counter of host changes at the last notification about hosts. hostsPending is
@@ -68,8 +75,10 @@
 	group  sync.WaitGroup
 }
 
-// peer is the connection to one other controller. A value in trigger starts an exchange at once.
+// peer is the connection to one other controller. A value in urgent starts an exchange at once, one in trigger as soon
+// as exchangeInterval has passed since the last one.
 type peer struct {
+	urgent  chan struct{}
 	trigger chan struct{}
 	cancel  context.CancelFunc
 }
@@ -86,7 +95,7 @@
 	x.client = client
 	x.gossip.Self, x.gossip.Region = x.Self, x.Region
 	x.gossip.Run = rand.Uint64() | 1
-	x.changed = make(chan struct{})
+	x.changed, x.acknowledged = make(chan struct{}), make(chan struct{})
 	x.peers = map[string]*peer{}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	x.group.Go(x.maintain)
@@ -122,8 +131,12 @@
 	x.notifyWatchers()
 }
 
-// notifyWatchers closes the channel that watch calls wait on and replaces it. The caller holds the lock.
+// notifyWatchers closes the channel that watch calls wait on and replaces it. They receive all changes up to now. The
+// caller holds the lock.
 func (x *Exchanger) notifyWatchers() {
+	if x.shared.upTo != x.gossip.Counter() {
+		x.shared.upTo, x.shared.after = x.gossip.Counter(), nil
+	}
 	if x.changed != nil {
 		close(x.changed)
 		x.changed = make(chan struct{})
@@ -161,22 +174,56 @@
 	x.notifyWatchers()
 }
 
-// update applies a change to the gossip state, and notifies watchers and peers if the state's counter has advanced.
+// update applies a change to the gossip state. It notifies watchers and peers of what they have to receive.
 func (x *Exchanger) update(change func(now time.Time)) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	before := x.gossip.Counter()
+	before := x.gossip.Marks()
 	change(time.Now())
 	x.scheduleHostsNotification()
-	if x.gossip.Counter() == before {
+	after := x.gossip.Marks()
+	urgent := after.Urgent > before.Urgent
+	if urgent {
+		x.notifyWatchers()
+	} else if after.Watched > before.Watched {
+		x.scheduleOrdinaryNotification()
+	}
+	if after.Outgoing > before.Outgoing {
+		x.triggerExchanges(urgent)
+	}
+}
+
+// scheduleOrdinaryNotification schedules a notification of the watchers, unless one is scheduled. The caller holds the
+// lock.
+func (x *Exchanger) scheduleOrdinaryNotification() {
+	if x.ordinaryPending {
 		return
 	}
-	x.notifyWatchers()
+	x.ordinaryPending = true
+	time.AfterFunc(ordinaryDelay, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.ordinaryPending = false
+		x.notifyWatchers()
+	})
+}
+
+// triggerExchanges starts an exchange with each peer, at once if urgent is set. The caller holds the lock.
+func (x *Exchanger) triggerExchanges(urgent bool) {
 	for _, p := range x.peers {
-		select {
-		case p.trigger <- struct{}{}:
-		default:
-		}
+		p.start(urgent)
+	}
+}
+
+// start requests an exchange and does not block.
+func (p *peer) start(urgent bool) {
+	requested := p.trigger
+	if urgent {
+		requested = p.urgent
+	}
+	select {
+	case requested <- struct{}{}:
+	default:
 	}
 }
 
@@ -195,7 +242,7 @@
 		present[m.GetName()] = true
 		if _, ok := x.peers[m.GetName()]; !ok {
 			ctx, cancel := context.WithCancel(x.ctx)
-			p := &peer{make(chan struct{}, 1), cancel}
+			p := &peer{make(chan struct{}, 1), make(chan struct{}, 1), cancel}
 			x.peers[m.GetName()] = p
 			x.group.Go(func() { x.exchangeLoop(ctx, m.GetName(), address, p) })
 		}
@@ -208,32 +255,52 @@
 	}
 }
 
-// exchangeLoop exchanges with one controller, at once when triggered and otherwise once a period. After a failed
-// exchange it always waits for the period.
+// exchangeLoop exchanges with one controller, when triggered and otherwise once a period. After a failed exchange it
+// always waits for the period.
 func (x *Exchanger) exchangeLoop(ctx context.Context, name string, address netip.AddrPort, p *peer) {
 	client := wireconnect.NewExchangeClient(x.client, x.Dialer.URL(address))
 	reachable := true
 	for ctx.Err() == nil {
-		err := x.exchange(ctx, client, name)
+		started := time.Now()
+		err := x.exchange(ctx, client, name, p)
 		if ctx.Err() == nil && (err == nil) != reachable {
 			reachable = err == nil
 			_ = level.Warn(x.Logger).Log("msg", "controller", "name", name, "reachable", reachable, "err", err)
 		}
-		timer := time.NewTimer(gossiper.Period)
-		select {
-		case <-ctx.Done():
-		case <-p.trigger:
-			if err != nil {
-				<-timer.C
-			}
-		case <-timer.C:
+		if err != nil {
+			wait(ctx, time.Now().Add(gossiper.Period), nil)
+			continue
 		}
-		timer.Stop()
+		p.awaitTrigger(ctx, started)
 	}
 }
 
-// exchange makes one exchange with another controller.
-func (x *Exchanger) exchange(ctx context.Context, client wireconnect.ExchangeClient, name string) error {
+// awaitTrigger waits until the next exchange is due.
+func (p *peer) awaitTrigger(ctx context.Context, started time.Time) {
+	timer := time.NewTimer(time.Until(started.Add(gossiper.Period)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-p.urgent:
+	case <-timer.C:
+	case <-p.trigger:
+		wait(ctx, started.Add(exchangeInterval), p.urgent)
+	}
+}
+
+// wait waits until a time, until ctx ends, or for a value in early.
+func wait(ctx context.Context, until time.Time, early <-chan struct{}) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-early:
+	case <-timer.C:
+	}
+}
+
+// exchange makes one exchange with another controller, and requests the next one if this one could not hold everything.
+func (x *Exchanger) exchange(ctx context.Context, client wireconnect.ExchangeClient, name string, p *peer) error {
 	sent := time.Now()
 	x.mu.Lock()
 	request := x.gossip.BuildRequest(sent, name)
@@ -250,7 +317,11 @@
 	defer x.mu.Unlock()
 	x.gossip.HandleResponse(sent, name, response.Msg)
 	if len(request.GetRecords()) > 0 {
-		x.notifyWatchers()
+		close(x.acknowledged)
+		x.acknowledged = make(chan struct{})
+	}
+	if x.gossip.Pending(name) {
+		p.start(request.GetPartial())
 	}
 	return nil
 }
--- /dev/null
+++ b/controller/internal/exchanger/shared_test.go
@@ -0,0 +1,96 @@
+package exchanger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/controller/internal/counter"
+	"chervilrail.example/core/packer"
+	"chervilrail.example/core/wire"
+)
+
+func announceMany(t *testing.T, x *Exchanger, from, to int) {
+	t.Helper()
+	for i := from; i < to; i++ {
+		r := announcement(1, wire.TargetState_TARGET_READY)
+		r.Name, r.Address = fmt.Sprintf("t%d", i), fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
+		is.New(t).NoErr(x.Announce(context.Background(), r))
+	}
+}
+
+// Guards against a controller that encodes all targets anew for each entry instance. With three thousand targets that
+// start at once this took it longer than the instances wait; they called again for everything, and no plan was accepted.
+func TestInstancesShareWhatIsEncoded(t *testing.T) {
+	is := is.New(t)
+	x := startExchanger(t, "c1")
+	announceMany(t, x, 0, 2000)
+	x.NotifyWatchers()
+	const instances = 60
+	started := time.Now()
+	for i := range instances {
+		announceMany(t, x, 2000+i, 2001+i) // the start goes on
+		response, fresh := x.buildResponse(time.Now(), &wire.WatchRequest{Unpacks: true})
+		is.True(fresh)
+		is.NoErr(packer.Unpack(response))
+		is.True(len(response.GetRecords()) >= 2000)
+	}
+	is.True(x.Counter.Sum(counter.Sets) <= 3+2*uint64(time.Since(started)/ordinaryDelay))
+}
+
+// Guards against changes that an instance never receives because they came after the moment that its answer was built
+// for.
+func TestSharedChangesLeaveNothingOut(t *testing.T) {
+	is := is.New(t)
+	x := startExchanger(t, "c1")
+	received := map[string]bool{}
+	request := &wire.WatchRequest{Unpacks: true}
+	for i := range 20 {
+		announceMany(t, x, 100*i, 100*i+100)
+		if i%3 == 0 {
+			x.NotifyWatchers()
+		}
+		response, _ := x.buildResponse(time.Now(), request)
+		is.NoErr(packer.Unpack(response))
+		for _, r := range response.GetRecords() {
+			received[r.GetName()] = true
+		}
+		request.Run, request.Counter, request.Observed = response.GetRun(), response.GetCounter(), response.GetCounter()
+	}
+	x.NotifyWatchers()
+	response, _ := x.buildResponse(time.Now(), request)
+	is.NoErr(packer.Unpack(response))
+	for _, r := range response.GetRecords() {
+		received[r.GetName()] = true
+	}
+	is.Equal(len(received), 2000)
+}
+
+// Guards against responses that an entry instance of an earlier release can't read.
+func TestInstancesThatDoNotUnpackReceivePlainRecords(t *testing.T) {
+	is := is.New(t)
+	x := startExchanger(t, "c1")
+	announceMany(t, x, 0, 500)
+	x.NotifyWatchers()
+	response, _ := x.buildResponse(time.Now(), &wire.WatchRequest{})
+	is.Equal(len(response.GetRecords()), 500)
+	is.Equal(len(response.GetPacked()), 0)
+}
+
+// Guards against targets that wait for their first requests much longer than a change of the plan may take.
+func TestOrdinaryChangesArriveSoon(t *testing.T) {
+	is := is.New(t)
+	x := startExchanger(t, "c1")
+	first := watch(t, x, &wire.WatchRequest{Node: &wire.Node{Name: "e1"}, Unpacks: true})
+	started := time.Now()
+	announceMany(t, x, 0, 1)
+	next := watch(t, x, &wire.WatchRequest{
+		Node: &wire.Node{Name: "e1"}, Run: first.GetRun(), Counter: first.GetCounter(), Observed: first.GetCounter(),
+		Revision: first.GetRevision(), Unpacks: true,
+	})
+	is.Equal(len(next.GetRecords()), 1)
+	is.True(time.Since(started) < ordinaryDelay+changesDelay+100*time.Millisecond)
+}
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -7,12 +7,17 @@
 	"connectrpc.com/connect"
 
 	"chervilrail.example/controller/internal/counter"
+	"chervilrail.example/core/gossiper"
 	"chervilrail.example/core/wire"
 )
 
-// changesDelay is how long changes are batched before watch calls are answered. Changes come in groups, and each answer
-// costs every entry instance another call.
-const changesDelay = 50 * time.Millisecond
+const (
+	// changesDelay is how long changes are batched before watch calls are answered. Changes come in groups, and each
+	// answer costs every entry instance another call.
+	changesDelay = 50 * time.Millisecond
+	// ordinaryDelay is how long changes that take nothing out of use are batched besides.
+	ordinaryDelay = 150 * time.Millisecond
+)
 
 // Watch implements the long poll of entry instances: it answers as soon as there are changes that the instance has not
 // seen, or after watchTimeout. The first call of an instance outside this controller's region is answered with the
@@ -56,6 +61,9 @@
 func (x *Exchanger) answerWatch(response *wire.WatchResponse) *connect.Response[wire.WatchResponse] {
 	x.Counter.Add(counter.Watches, 1)
 	x.Counter.Add(counter.WatchedRecords, len(response.GetRecords()))
+	for _, packed := range response.GetPacked() {
+		x.Counter.Add(counter.PackedBytes, len(packed))
+	}
 	return connect.NewResponse(response)
 }
 
@@ -66,14 +74,23 @@
 	hasQuorum := x.hasQuorum(now)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	counter, hosted, loaded := r.GetCounter(), r.GetHosted(), r.GetLoaded()
+	position := gossiper.Position{Records: r.GetCounter(), Instances: r.GetCounter()}
+	if r.GetUnpacks() {
+		position.Instances = r.GetObserved()
+	}
+	hosted, loaded := r.GetHosted(), r.GetLoaded()
 	if r.GetRun() != x.gossip.Run {
-		counter, hosted, loaded = 0, 0, 0
+		position, hosted, loaded = gossiper.Position{}, 0, 0
 	}
-	changes := x.gossip.ChangesSince(now, counter)
+	set := x.changesAfter(now, position)
 	out := &wire.WatchResponse{
-		Run: x.gossip.Run, Counter: x.gossip.Counter(), Linked: hasQuorum, Revision: routing.Revision,
-		Records: changes.Records, Seen: changes.Seen, Whole: changes.Whole, Losses: changes.Losses,
+		Run: x.gossip.Run, Counter: x.shared.upTo, Linked: hasQuorum, Revision: routing.Revision,
+	}
+	if set.packed != nil && r.GetUnpacks() {
+		out.Packed = append(out.Packed, set.packed)
+	} else {
+		changes := set.changes
+		out.Records, out.Seen, out.Whole, out.Losses = changes.Records, changes.Seen, changes.Whole, changes.Losses
 	}
 	out.Hosts, out.Hosted = x.gossip.HostsSince(r.GetNode().GetRegion(), hosted), x.gossip.HostsCounter()
 	out.Loads, out.Loaded = x.gossip.LoadsSince(loaded)
@@ -81,13 +98,22 @@
 	if routing.Revision > r.GetRevision() {
 		out.Evacuated = routing.Evacuated
 		if routing.Plan.GetVersion() > r.GetVersion() {
-			out.Plan = routing.PlanWithoutKeys
+			x.addPlan(out, routing.PlanWithoutKeys, r.GetUnpacks())
 		}
 	}
-	fresh := routing.Revision > r.GetRevision() || !changes.Empty() || len(out.Hosts) > 0
+	fresh := routing.Revision > r.GetRevision() || !set.changes.Empty() || len(out.Hosts) > 0
 	return out, fresh || !hasQuorum && r.GetRun() == x.gossip.Run
 }
 
+// addPlan adds a plan to a response, packed if it is large and the instance unpacks it. The caller holds the lock.
+func (x *Exchanger) addPlan(out *wire.WatchResponse, plan *wire.Plan, unpacks bool) {
+	if packed := x.packPlan(plan); packed != nil && unpacks {
+		out.Packed = append(out.Packed, packed)
+		return
+	}
+	out.Plan = plan
+}
+
 // listControllers adds the controllers to a response, and those that are reachable in the region. The caller holds the
 // lock.
 func (x *Exchanger) listControllers(now time.Time, region string, out *wire.WatchResponse) {
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -7,6 +7,10 @@
 	"chervilrail.example/core/wire"
 )
 
+// maxRecords is the largest number of records in a request, for the changes and for a repair each. A request with all
+// records of thousands of targets would take an overloaded controller longer than the sender waits, and be sent again.
+const maxRecords = 512
+
 func (g *Gossiper) peer(name string) *peer {
 	p, ok := g.peers[name]
 	if !ok {
@@ -16,21 +20,14 @@
 	return p
 }
 
-// BuildRequest returns the request to send to another controller now. It holds the changes that the controller has not
-// acknowledged, or all records if the two digests have differed for longer than repairAfter.
+// BuildRequest returns the request to send to another controller now. It holds the oldest changes that the controller
+// has not acknowledged, and a part of all records while the two digests have differed for longer than repairAfter.
 func (g *Gossiper) BuildRequest(now time.Time, name string) *wire.ExchangeRequest {
 	g.init()
 	p := g.peer(name)
-	full := p.differs && now.Sub(p.differsSince) > repairAfter
-	if full {
-		p.differsSince = now
-	}
-	out := &wire.ExchangeRequest{From: g.Self, Run: g.Run, Counter: g.counter, Digest: g.digest, Region: g.Region}
-	if full {
-		out.Records = g.changedRecords(now, 0, func(*targetStatus) bool { return true })
-	} else {
-		out.Records = g.changedRecords(now, p.acked, func(m *targetStatus) bool { return m.direct })
-	}
+	out := &wire.ExchangeRequest{From: g.Self, Run: g.Run, Digest: g.digest, Region: g.Region}
+	out.Records, out.Counter, out.Partial = g.outgoingRecords(now, p.acked)
+	out.Records = append(out.Records, g.repairRecords(now, p)...)
 	out.Seen = g.instances.connected(now)
 	for _, l := range g.losses {
 		if l.direct && l.counter > p.acked {
@@ -46,6 +43,30 @@
 	return out
 }
 
+// outgoingRecords returns the oldest records that have to be sent to a controller that has acknowledged everything up
+// to a counter, the counter up to which they reach, and whether further ones are left.
+func (g *Gossiper) outgoingRecords(now time.Time, acked uint64) ([]*wire.Record, uint64, bool) {
+	names := g.outgoing.since(acked, g.lastOutgoing)
+	upTo, partial := g.counter, len(names) > maxRecords
+	if partial {
+		names = names[:maxRecords]
+		upTo = g.lastOutgoing(names[maxRecords-1])
+	}
+	var out []*wire.Record
+	for _, name := range names {
+		if g.statuses[name].direct {
+			out = g.appendRecord(out, now, name)
+		}
+	}
+	return out, upTo, partial
+}
+
+// Pending reports whether changes or records of a repair are left to be sent to a controller.
+func (g *Gossiper) Pending(name string) bool {
+	p := g.peer(name)
+	return p.acked < g.marks.Outgoing || p.repair.active
+}
+
 // HandleRequest merges the request of another controller and returns the response that acknowledges it.
 func (g *Gossiper) HandleRequest(now time.Time, r *wire.ExchangeRequest) *wire.ExchangeResponse {
 	g.init()
@@ -53,14 +74,17 @@
 		g.mergeRecord(now, record)
 	}
 	for _, s := range r.GetSeen() {
-		g.counter = g.instances.observe(s.GetNode(), now.Add(-time.Duration(s.GetAge())), false, g.counter)
+		at := now.Add(-time.Duration(s.GetAge()))
+		g.recordInstances(g.instances.observe(s.GetNode(), at, false, g.counter), s.GetNode().GetLeaving(), false)
 	}
 	g.ReportLosses(now, r.GetLosses(), false)
 	g.mergeHosts(r.GetHosts(), false)
 	g.loadTable.Record(now, gauger.Decode(r.GetLoads()), false)
 	p := g.peer(r.GetFrom())
 	p.region = r.GetRegion()
-	g.compare(now, p, r.GetDigest())
+	if !r.GetPartial() {
+		g.compare(now, p, r.GetDigest())
+	}
 	return &wire.ExchangeResponse{Run: r.GetRun(), Counter: r.GetCounter(), Answerer: g.Run, Hosted: r.GetHosted()}
 }
 
@@ -86,6 +110,9 @@
 		p.differsSince = now
 	}
 	p.differs = differs
+	if !differs {
+		p.repair = repair{}
+	}
 }
 
 // HandleResponse processes another controller's response to a request that was sent at a given time. A changed run
@@ -98,7 +125,7 @@
 	if p.run != r.GetAnswerer() {
 		firstContact := p.run == 0 && p.acked == 0
 		p.run = r.GetAnswerer()
-		p.acked, p.ackedHosts = 0, 0
+		p.acked, p.ackedHosts, p.repair = 0, 0, repair{}
 		if !firstContact {
 			return
 		}
@@ -106,6 +133,7 @@
 	p.acked = max(p.acked, r.GetCounter())
 	p.ackedHosts = max(p.ackedHosts, r.GetHosted())
 	p.ackedAt = sent
+	p.repair.acknowledge(sent)
 }
 
 // HasAcknowledged reports whether a controller has acknowledged all changes up to a counter.
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -45,16 +45,19 @@
 	Run    uint64
 	Region string
 
-	targets   registrar.Registrar
-	statuses  map[string]*targetStatus
+	targets  registrar.Registrar
+	statuses map[string]*targetStatus
+	// changeLog lists the changes of records, outgoing those that this controller has to send to the others.
 	changeLog changeLog
+	outgoing  changeLog
 	instances instances
 	peers     map[string]*peer
 	losses    []*loss
 	hosts     hosts
 	loadTable gauger.LoadTable
-	// counter is incremented with every change that watchers have to receive.
+	// counter is incremented with every change that watchers or other controllers have to receive.
 	counter uint64
+	marks   Marks
 	// digest is the XOR of the digests of all targets' records; equal sets of records have equal digests.
 	digest uint64
 }
@@ -62,6 +65,8 @@
 // targetStatus is what this controller keeps for a target besides its record.
 type targetStatus struct {
 	changed uint64
+	// outgoing is the counter at which the record last had to be sent to the other controllers.
+	outgoing uint64
 	// direct is set while the target announces itself to this controller.
 	direct      bool
 	announcedAt time.Time
@@ -86,10 +91,24 @@
 	// loadsSentAt is when loads were last sent to it.
 	loadsSentAt time.Time
 	differs     bool
-	// differsSince is when the digests began to differ, or when all records were last sent for that reason.
+	// differsSince is when the digests began to differ.
 	differsSince time.Time
+	repair       repair
 }
 
+// Marks are the values of the change counter at the last changes of some kinds.
+type Marks struct {
+	// Watched is that of the last change that watchers have to receive, Urgent that of the last among them that takes
+	// something out of use.
+	Watched uint64
+	Urgent  uint64
+	// Outgoing is that of the last change that this controller has to send to the others.
+	Outgoing uint64
+}
+
+// Marks returns the present marks.
+func (g *Gossiper) Marks() Marks { return g.marks }
+
 func (g *Gossiper) init() {
 	if g.statuses == nil {
 		g.statuses = map[string]*targetStatus{}
@@ -112,14 +131,19 @@
 		return g.LastChange(r.GetName())
 	}
 	m := g.status(r.GetName())
-	mustPublish := !known || !m.direct || differ(old, r)
+	moved := !m.direct
 	m.direct = true
 	m.announcedAt = now
 	m.coldEnd = now.Add(time.Duration(r.GetCold()))
-	if mustPublish {
+	switch {
+	case !known || differ(old, r):
 		g.recordChange(r.GetName())
+	case moved:
+		// Only the other controllers need this: the one that the target has left must not mark it as silent.
+		g.counter++
+		g.recordOutgoing(r.GetName(), m)
 	}
-	return m.changed
+	return max(m.changed, m.outgoing)
 }
 
 // Announces reports whether a target announces itself to this controller directly.
@@ -144,8 +168,21 @@
 	return m
 }
 
-// differ compares two records without the fields that change with every announcement.
-func differ(a, b *wire.Record) bool { return digestOf(a) != digestOf(b) }
+// lastOutgoing returns the counter at which a target's record last had to be sent, or 0 if the target is unknown.
+func (g *Gossiper) lastOutgoing(name string) uint64 {
+	if m, ok := g.statuses[name]; ok {
+		return m.outgoing
+	}
+	return 0
+}
+
+// differ compares two records without the fields that change with every announcement. It runs for each announcement,
+// where two digests would take most of the time.
+func differ(a, b *wire.Record) bool {
+	return a.GetName() != b.GetName() || a.GetIncarnation() != b.GetIncarnation() || a.GetService() != b.GetService() ||
+		a.GetAddress() != b.GetAddress() || a.GetRegion() != b.GetRegion() || a.GetZone() != b.GetZone() ||
+		a.GetSlots() != b.GetSlots() || a.GetState() != b.GetState() || a.GetSilent() != b.GetSilent()
+}
 
 func digestOf(r *wire.Record) uint64 {
 	bare := proto.CloneOf(r)
@@ -162,15 +199,29 @@
 	m := g.status(name)
 	m.changed = g.counter
 	g.changeLog.add(g.counter, name, g.LastChange)
+	g.marks.Watched = g.counter
+	if m.direct {
+		g.recordOutgoing(name, m)
+	}
 	if g.hasLeft(name) {
 		g.hosts.removeTarget(name)
 	}
 	record, _ := g.targets.Get(name)
+	if record.GetState() != wire.TargetState_TARGET_READY || record.GetSilent() {
+		g.marks.Urgent = g.counter
+	}
 	sum := digestOf(record)
 	g.digest ^= m.digest ^ sum
 	m.digest = sum
 }
 
+// recordOutgoing records that a target's record has to be sent to the other controllers.
+func (g *Gossiper) recordOutgoing(name string, m *targetStatus) {
+	m.outgoing = g.counter
+	g.outgoing.add(g.counter, name, g.lastOutgoing)
+	g.marks.Outgoing = g.counter
+}
+
 // ReportLosses merges reports of requests that were in flight when a target died.
 func (g *Gossiper) ReportLosses(now time.Time, reports []*wire.Loss, direct bool) {
 	for _, r := range reports {
@@ -178,6 +229,10 @@
 			continue
 		}
 		g.counter++
+		g.marks.Watched, g.marks.Urgent = g.counter, g.counter
+		if direct {
+			g.marks.Outgoing = g.counter
+		}
 		g.losses = append(g.losses, &loss{r, g.counter, direct, now.Add(lossRetention)})
 	}
 	if extra := len(g.losses) - maxLosses; extra > 0 {
@@ -190,7 +245,7 @@
 // connections, and traffic must go on.
 func (g *Gossiper) Tick(now time.Time) {
 	g.init()
-	g.counter = g.instances.expire(now, g.counter)
+	g.recordInstances(g.instances.expire(now, g.counter), true, false)
 	g.losses = slices.DeleteFunc(g.losses, func(l *loss) bool { return !now.Before(l.expiresAt) })
 	current, overdue := 0, []string{}
 	for name, m := range g.statuses {
@@ -232,30 +287,37 @@
 	return len(n.Records)+len(n.Seen)+len(n.Losses) == 0
 }
 
-// ChangesSince returns the changes after a counter, for a watcher that has received everything up to it.
-func (g *Gossiper) ChangesSince(now time.Time, counter uint64) *Changes {
-	out := &Changes{Records: g.changedRecords(now, counter, func(*targetStatus) bool { return true })}
+// Position is what a watcher has received: the counter of the changes of targets, and that of entry instances.
+type Position struct {
+	Records   uint64
+	Instances uint64
+}
+
+// ChangesSince returns the changes after a position and up to a counter, for a watcher that has received everything up
+// to that position. What has changed again since that counter is left out.
+func (g *Gossiper) ChangesSince(now time.Time, p Position, upTo uint64) *Changes {
+	out := &Changes{}
+	for _, name := range g.changeLog.since(p.Records, g.LastChange) {
+		if g.LastChange(name) <= upTo {
+			out.Records = g.appendRecord(out.Records, now, name)
+		}
+	}
 	for _, l := range g.losses {
-		if l.counter > counter {
+		if l.counter > p.Records && l.counter <= upTo {
 			out.Losses = append(out.Losses, l.report)
 		}
 	}
-	out.Seen, out.Whole = g.instances.since(now, counter)
+	out.Seen, out.Whole = g.instances.since(now, p.Instances, upTo)
 	return out
 }
 
-// changedRecords returns the wanted records that changed after a counter, oldest change first.
-func (g *Gossiper) changedRecords(now time.Time, counter uint64, wanted func(m *targetStatus) bool) []*wire.Record {
-	var out []*wire.Record
-	for _, name := range g.changeLog.since(counter, g.LastChange) {
-		m := g.statuses[name]
-		record, ok := g.targets.Get(name)
-		if !ok || !wanted(m) {
-			continue
-		}
-		sent := proto.CloneOf(record)
-		sent.Cold = max(0, int64(m.coldEnd.Sub(now)))
-		out = append(out, sent)
+// appendRecord appends a copy of a target's record with the time for which the target is still cold.
+func (g *Gossiper) appendRecord(list []*wire.Record, now time.Time, name string) []*wire.Record {
+	record, ok := g.targets.Get(name)
+	if !ok {
+		return list
 	}
-	return out
+	sent := proto.CloneOf(record)
+	sent.Cold = max(0, int64(g.statuses[name].coldEnd.Sub(now)))
+	return append(list, sent)
 }
--- a/core/gossiper/gossiper_test.go
+++ b/core/gossiper/gossiper_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"chervilrail.example/core/wire"
 )
@@ -194,7 +195,7 @@
 	g := r.controllers[0]
 	g.Announce(r.now, record("t1", 1, 1, ready))
 	g.ObserveInstance(r.now, &wire.Node{Name: "e1"})
-	changes := g.ChangesSince(r.now, 0)
+	changes := g.ChangesSince(r.now, Position{0, 0}, g.Counter())
 	is.Equal(len(changes.Records), 1)
 	is.Equal(len(changes.Seen), 1)
 	at := g.Counter()
@@ -202,7 +203,104 @@
 	g.ObserveInstance(r.now.Add(time.Second), &wire.Node{Name: "e1"})
 	is.Equal(g.Counter(), at)
 	g.ReportLosses(r.now, []*wire.Loss{{Fingerprint: []byte("x"), Target: "t1"}}, true)
-	changes = g.ChangesSince(r.now, at)
+	changes = g.ChangesSince(r.now, Position{at, at}, g.Counter())
 	is.Equal(len(changes.Records)+len(changes.Seen), 0)
 	is.Equal(len(changes.Losses), 1)
 }
+
+// announceMany has targets announce themselves to a controller, each at an address of its own.
+func announceMany(r *cluster, controller, from, to int, sequence uint64) {
+	for i := from; i < to; i++ {
+		m := record(fmt.Sprintf("t%d", i), 1, sequence, ready)
+		m.Address = fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
+		r.controllers[controller].Announce(r.now, m)
+	}
+}
+
+// Guards against targets that turn to another controller, as all do that an overloaded one has not answered in time, and
+// make all controllers tell all entry instances of it although nothing has changed for them.
+func TestMovedTargetsAreSentToControllersOnly(t *testing.T) {
+	is := is.New(t)
+	r := newCluster(3)
+	announceMany(r, 0, 0, 10, 1)
+	r.exchangeAll(Period)
+	before := []Marks{r.controllers[0].Marks(), r.controllers[1].Marks(), r.controllers[2].Marks()}
+	announceMany(r, 1, 0, 10, 2)
+	is.Equal(r.exchangeAll(Period), 20) // ten records to each of the two others
+	for i, g := range r.controllers {
+		is.Equal(g.Marks().Watched, before[i].Watched)
+		is.Equal(g.Announces("t3"), i == 1)
+	}
+}
+
+// Guards against a request with thousands of records, which an overloaded controller does not answer in time, so that it
+// is sent again, whole, and the overload never ends.
+func TestRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	r := newCluster(2)
+	const targets = 3000
+	announceMany(r, 0, 0, targets, 1)
+	requests := 0
+	for r.controllers[0].Pending("c1") {
+		m := r.controllers[0].BuildRequest(r.now, "c1")
+		is.True(len(m.GetRecords()) <= maxRecords)
+		is.Equal(m.GetPartial(), requests < targets/maxRecords)
+		r.controllers[0].HandleResponse(r.now, "c1", r.controllers[1].HandleRequest(r.now, m))
+		requests++
+	}
+	is.Equal(requests, targets/maxRecords+1)
+	is.Equal(len(r.controllers[1].ChangesSince(r.now, Position{}, r.controllers[1].Counter()).Records), targets)
+	is.Equal(r.controllers[0].digest, r.controllers[1].digest)
+	is.Equal(r.exchangeAll(Period), 0)
+}
+
+// Guards against controllers that send each other all records again and again while targets change all the time: the
+// digests differ then although nothing is lost.
+func TestRepairsInVainAreSpacedOut(t *testing.T) {
+	is := is.New(t)
+	r := newCluster(2)
+	announceMany(r, 0, 0, 100, 1)
+	r.exchangeAll(Period)
+	sent := 0
+	for i := range 100 {
+		announceMany(r, 0, 100+i, 101+i, 1)
+		m := r.controllers[1].BuildRequest(r.now, "c0") // before c1 has the new target
+		sent += len(m.GetRecords())
+		r.controllers[1].HandleResponse(r.now, "c0", r.controllers[0].HandleRequest(r.now, m))
+		request := r.controllers[0].BuildRequest(r.now, "c1")
+		sent += len(request.GetRecords())
+		r.controllers[0].HandleResponse(r.now, "c1", r.controllers[1].HandleRequest(r.now, request))
+		r.now = r.now.Add(Period)
+	}
+	is.True(sent < 12*150) // forty seconds: a repair every 5.6 s, of 150 records on average, and each new target
+}
+
+// Guards against a field of the announcement whose change nobody learns of.
+func TestDifferComparesAllFields(t *testing.T) {
+	changing := map[string]bool{"sequence": true, "load": true, "cold": true}
+	fields := (&wire.Record{}).ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		t.Run(string(field.Name()), func(t *testing.T) {
+			changed := record("t1", 1, 1, ready)
+			m := changed.ProtoReflect()
+			switch field.Kind() {
+			case protoreflect.StringKind:
+				m.Set(field, protoreflect.ValueOfString("other"))
+			case protoreflect.BoolKind:
+				m.Set(field, protoreflect.ValueOfBool(true))
+			case protoreflect.EnumKind:
+				m.Set(field, protoreflect.ValueOfEnum(leaving.Number()))
+			case protoreflect.Uint64Kind:
+				m.Set(field, protoreflect.ValueOfUint64(99))
+			case protoreflect.Int32Kind:
+				m.Set(field, protoreflect.ValueOfInt32(99))
+			case protoreflect.Int64Kind:
+				m.Set(field, protoreflect.ValueOfInt64(99))
+			default:
+				t.Fatal("a kind of field that this test does not set")
+			}
+			is.New(t).Equal(differ(record("t1", 1, 1, ready), changed), !changing[string(field.Name())])
+		})
+	}
+}
--- a/core/gossiper/nodes.go
+++ b/core/gossiper/nodes.go
@@ -101,20 +101,22 @@
 	return out
 }
 
-// since returns the changes after a counter, or the full list and true for a new watcher or if some of the removals are
-// no longer kept.
-func (n *instances) since(now time.Time, counter uint64) ([]*wire.Seen, bool) {
+// since returns the changes after a counter and up to another, or the full list and true for a new watcher or if some of
+// the removals are no longer kept.
+func (n *instances) since(now time.Time, counter, upTo uint64) ([]*wire.Seen, bool) {
 	if counter == 0 || counter < n.evictedUpTo {
 		return n.live(now), true
 	}
 	var out []*wire.Seen
 	for _, g := range n.removed {
-		if _, activeAgain := n.active[g.name]; g.changed > counter && !activeAgain {
+		if _, activeAgain := n.active[g.name]; g.changed > counter && g.changed <= upTo && !activeAgain {
 			out = append(out, &wire.Seen{Node: &wire.Node{Name: g.name, Lost: true}})
 		}
 	}
 	for _, name := range n.changeLog.since(counter, n.lastChange) {
-		out = append(out, &wire.Seen{Node: n.active[name].instance})
+		if n.lastChange(name) <= upTo {
+			out = append(out, &wire.Seen{Node: n.active[name].instance})
+		}
 	}
 	return out, false
 }
@@ -133,7 +135,22 @@
 // ObserveInstance records a call of an entry instance to this controller.
 func (g *Gossiper) ObserveInstance(now time.Time, n *wire.Node) {
 	g.init()
-	g.counter = g.instances.observe(n, now, true, g.counter)
+	g.recordInstances(g.instances.observe(n, now, true, g.counter), n.GetLeaving(), true)
+}
+
+// recordInstances sets the counter to its value after an observation of entry instances, and the marks if that was a
+// change. It is urgent if it takes instances out of use, and direct if this controller has to send it to the others.
+func (g *Gossiper) recordInstances(counter uint64, urgent, direct bool) {
+	if counter == g.counter {
+		return
+	}
+	g.counter, g.marks.Watched = counter, counter
+	if urgent {
+		g.marks.Urgent = counter
+	}
+	if direct {
+		g.marks.Outgoing = counter
+	}
 }
 
 // Instances returns the entry instances observed by any controller within instanceTimeout, sorted by name.
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -33,7 +33,8 @@
 // apply puts a controller's response into force and publishes a new view if anything relevant changed.
 func (w *Watcher) apply(now time.Time, r *wire.WatchResponse) {
 	s := &w.state
-	s.run, s.counter, s.hosted, s.loaded = r.GetRun(), r.GetCounter(), r.GetHosted(), r.GetLoaded()
+	s.position = position{run: r.GetRun(), counter: r.GetCounter(), hosted: r.GetHosted()}
+	s.observed, s.loaded = r.GetCounter(), r.GetLoaded()
 	w.applyControllers(r)
 	stale := w.applyRouting(now, r)
 	stale = w.applyRecords(now, r.GetRecords()) || stale
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -19,6 +19,7 @@
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/packer"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/registrar"
 	"chervilrail.example/core/wire"
@@ -29,11 +30,16 @@
 	// callTimeout covers the second for which a controller holds a call without changes, and a round trip with one lost
 	// packet. A change has to be in force within 2.5 s, also where a controller has just frozen.
 	callTimeout = 1800 * time.Millisecond
-	// retryPause is the pause after a controller failed or reported that it can't reach most of the voters.
-	retryPause = 50 * time.Millisecond
+	// minRetryPause is the pause after a controller failed or reported that it can't reach most of the voters. It doubles
+	// with each further failure, up to maxRetryPause: hundreds of instances that call again at once would take the
+	// controllers the time that they need to elect a leader.
+	minRetryPause = 50 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
 	// avoidTime is how long such a controller is not called again while there are others: about as long as a lost link
 	// takes to be detected.
 	avoidTime = 2 * time.Second
+	// maxPositions is how many controllers' positions are kept.
+	maxPositions = 64
 )
 
 // Watcher is the service. Set the exported fields before Start.
@@ -77,10 +83,13 @@
 	near []netip.AddrPort
 	// polled is set once a Watch call has succeeded.
 	polled bool
-	// run, counter, hosted and loaded are the position in the present controller's changes, as of its last response.
-	run       uint64
-	counter   uint64
-	hosted    uint64
+	// position is that in the present controller's changes, positions holds those of the others.
+	position
+	positions map[netip.AddrPort]position
+	// observed and loaded are the counters of the present controller up to which this instance has its observations of
+	// entry instances and its loads. Unlike records, these have no order of their own: after a visit to another
+	// controller, all of them are needed.
+	observed  uint64
 	loaded    uint64
 	revision  uint64
 	plan      *planner.Table
@@ -89,10 +98,21 @@
 	coldUntil map[string]time.Time
 	instances map[string]*wire.Node
 	failing   bool
+	// retryPause is the pause after the next failure.
+	retryPause time.Duration
 	// avoidUntil holds until when a controller that failed is not called while there are others.
 	avoidUntil map[netip.AddrPort]time.Time
 }
 
+// position is what this instance has received from one controller, by the counters in its last response. It stays valid
+// while other controllers are called, so that a controller that was too slow once does not have to send everything
+// again, which would make it slower.
+type position struct {
+	run     uint64
+	counter uint64
+	hosted  uint64
+}
+
 // Name implements kernel.Service.
 func (w *Watcher) Name() string { return "watch" }
 
@@ -107,6 +127,7 @@
 	w.state.coldUntil = map[string]time.Time{}
 	w.state.instances = map[string]*wire.Node{}
 	w.state.avoidUntil = map[netip.AddrPort]time.Time{}
+	w.state.positions = map[netip.AddrPort]position{}
 	w.state.controllers = slices.Clone(w.Seeds)
 	w.done = make(chan struct{})
 	w.ctx, w.cancel = context.WithCancel(context.Background())
@@ -167,11 +188,20 @@
 		}
 		select {
 		case <-w.ctx.Done():
-		case <-time.After(retryPause):
+		case <-time.After(w.nextRetryPause()):
 		}
 	}
 }
 
+// nextRetryPause returns how long to wait after a failure, and doubles the pause after the next one. Half of it is
+// random, so that instances that failed together do not call together again.
+func (w *Watcher) nextRetryPause() time.Duration {
+	s := &w.state
+	pause := max(minRetryPause, s.retryPause)
+	s.retryPause = min(maxRetryPause, 2*pause)
+	return pause/2 + rand.N(pause/2)
+}
+
 // poll makes one Watch call and reports whether the next one may follow without a pause.
 func (w *Watcher) poll() bool {
 	s := &w.state
@@ -184,6 +214,9 @@
 	defer cancel()
 	client := wireconnect.NewExchangeClient(w.client, w.Dialer.URL(s.controller))
 	response, err := client.Watch(ctx, connect.NewRequest(w.request()))
+	if err == nil {
+		err = packer.Unpack(response.Msg)
+	}
 	if err != nil {
 		return w.handleError(err)
 	}
@@ -199,6 +232,7 @@
 	}
 	w.apply(time.Now(), response.Msg)
 	if response.Msg.GetLinked() {
+		s.retryPause = 0
 		w.preferNear()
 		return true
 	}
@@ -212,7 +246,7 @@
 	out := &wire.WatchRequest{
 		// Without a plan this instance would refuse the callers that look-ups send here.
 		Node: w.describe(s.plan == nil), Run: s.run, Counter: s.counter, Revision: s.revision, First: !s.polled,
-		Hosted: s.hosted, Loaded: s.loaded, Loads: w.takeReadings(),
+		Hosted: s.hosted, Loaded: s.loaded, Loads: w.takeReadings(), Unpacks: true, Observed: s.observed,
 	}
 	if s.plan != nil {
 		out.Version = s.plan.Plan.GetVersion()
@@ -277,10 +311,19 @@
 	})
 }
 
-// switchTo selects one of the controllers at random. The counters of the former one do not apply to it and are reset.
+// switchTo selects one of the controllers at random, and continues at the position reached with it before.
 func (w *Watcher) switchTo(controllers []netip.AddrPort) {
-	w.state.controller = controllers[rand.IntN(len(controllers))]
-	w.state.run, w.state.counter, w.state.hosted, w.state.loaded = 0, 0, 0, 0
+	s := &w.state
+	next := controllers[rand.IntN(len(controllers))]
+	if next == s.controller {
+		return
+	}
+	s.positions[s.controller] = s.position
+	if len(s.positions) > maxPositions {
+		clear(s.positions)
+	}
+	s.controller, s.position = next, s.positions[next]
+	s.observed, s.loaded = 0, 0
 }
 
 // failOver avoids the present controller for a while and switches to another: one of this region if any is eligible,
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -74,6 +74,13 @@
 	return len(c.requests)
 }
 
+// request returns the Watch request with an index.
+func (c *controller) request(i int) *wire.WatchRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests[i]
+}
+
 func startController(t *testing.T, answer *wire.WatchResponse) (*controller, netip.AddrPort) {
 	t.Helper()
 	c := &controller{answer: answer}
@@ -314,3 +321,33 @@
 	is.Equal(c.requests[1].GetHosted(), uint64(4))
 	is.Equal(c.requests[1].GetLoaded(), uint64(9))
 }
+
+// Guards against an instance that asks a controller for everything again because another one answered in between: each
+// failed call would then make the overloaded controllers work more.
+func TestPositionsOfControllersAreKept(t *testing.T) {
+	is := is.New(t)
+	first, firstAddress := startController(t, answer(3, 1, true, target(1, wire.TargetState_TARGET_READY)))
+	second, secondAddress := startController(t, answer(5, 1, true))
+	w := startWatcher(t, firstAddress)
+	waitFor(t, func() bool { return first.requestCount() > 1 })
+	w.SetSeeds([]netip.AddrPort{firstAddress, secondAddress})
+	first.setAnswer(answer(3, 1, false)) // it loses the others: the instance turns to the second
+	waitFor(t, func() bool { return second.requestCount() > 1 })
+	first.setAnswer(answer(3, 1, true))
+	count := first.requestCount()
+	second.setAnswer(answer(5, 1, false))
+	waitFor(t, func() bool { return first.requestCount() > count })
+	back := first.request(count)
+	is.Equal(back.GetRun(), uint64(1))
+	is.Equal(back.GetCounter(), uint64(3))
+	is.Equal(back.GetObserved(), uint64(0)) // instances have no order of their own
+}
+
+// Guards against hundreds of instances that take the controllers the time which they need to elect a leader.
+func TestRetriesAreSpacedOut(t *testing.T) {
+	is := is.New(t)
+	c, address := startController(t, answer(3, 1, false))
+	startWatcher(t, address)
+	time.Sleep(1500 * time.Millisecond)
+	is.True(c.requestCount() <= 12) // 25 with 50 ms between them
+}
