Attempts read a copy of the target's entry in the control state

What could happen: Placer.Update rewrites a target's Spec under the lock of the service while attempts read it without: a request in flight could be sent to, or accounted to, a target of which half was old (go test -race ./entry/internal/carrier, TestUndeliveredRequestsToWithdrawnTargetAreCancelled/kept).

Cause: Decision handed out the Target itself. Evidence: the race report names Update and Carrier.outgoing.

Change: a Decision carries a copy of the Spec, made under the lock; the Target in it is only handed back to Done. The race in TestNearControllerIsPreferred was in the test: it read the recorded requests without their lock.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOLS := $(CURDIR)/.tools
 
-.PHONY: build demo test red race lint format tools generate clean
+.PHONY: build demo test red race race-programs lint format tools generate clean
 
 build:
 	@mkdir -p bin
@@ -24,6 +24,11 @@
 race: build
 	@go test -race -count=1 $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
+# Runs the tests of the programs that serve callers with the race detector.
+CONCURRENT := ./entry/... ./controller/... ./core/listener ./core/pacer
+race-programs:
+	@go test -race -count=1 $(if $(RED),-skip '$(RED)') $(CONCURRENT)
+
 tools: $(TOOLS)/gofumpt $(TOOLS)/golangci-lint
 
 $(TOOLS)/gofumpt:
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -70,14 +70,19 @@
 
 // Decision is the result for a ticket.
 type Decision struct {
-	// Target is where to send the request, nil if it is refused.
+	// Target is where to send the request, nil if it is refused. It may only be passed to Done; Spec is a copy of its
+	// entry in the control state, which Update may change meanwhile.
 	Target *Target
+	Spec   Spec
 	// Retry is when a refused caller should retry.
 	Retry time.Time
 	// Reason is a single word for logs.
 	Reason string
 }
 
+// sendTo returns the decision to send a request to a target.
+func sendTo(t *Target) Decision { return Decision{Target: t, Spec: t.Spec} }
+
 // Outcome is how a request at a target ended.
 type Outcome struct {
 	// ResponseTime is the time to the answer, zero if there was none; ExpectedTime is what was expected.
@@ -238,7 +243,7 @@
 	p.refreshSnapshot(now)
 	if p.ticketsAhead(now, t) == 0 {
 		if target := p.place(now, t); target != nil {
-			return Decision{Target: target}, true
+			return sendTo(target), true
 		}
 	}
 	wait := p.expectedWait(now, t)
@@ -285,7 +290,7 @@
 	var rest []*Ticket
 	for _, t := range p.queue {
 		if target := p.place(now, t); target != nil {
-			out = append(out, Placed{t, Decision{Target: target}})
+			out = append(out, Placed{t, sendTo(target)})
 			continue
 		}
 		if !now.Before(t.queueDeadline) {
--- a/core/placer/withdrawn_test.go
+++ b/core/placer/withdrawn_test.go
@@ -40,3 +40,17 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to an address which its target got after the decision: the control state changes
+// while the request is under way, outside the lock.
+func TestDecisionKeepsTheSpec(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(spec("a"))
+	decision, decided := p.Offer(start, ticket(0))
+	is.True(decided)
+	changed := spec("a")
+	changed.Zone = "elsewhere"
+	p.Update(start, []Spec{changed}, 1)
+	is.Equal(decision.Spec, spec("a"))
+	is.Equal(decision.Target.Zone, "elsewhere")
+}
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -55,7 +55,7 @@
 		if state == answered {
 			return out, answered
 		}
-		tried = append(tried, decision.Target.Name)
+		tried = append(tried, decision.Spec.Name)
 		// The least certain attempt decides what is reported: if one attempt may have been executed, a later one that
 		// was not does not change that.
 		worst = max(worst, state)
@@ -136,7 +136,7 @@
 
 // attempt sends the request to one target, on which it already holds a slot.
 func (c *Carrier) attempt(j *job, svc *serviceState, decision placer.Decision) (result, attemptState) {
-	target := decision.Target
+	target := &decision.Spec
 	// A target other than the object's host was chosen because the host has no free slot; it is no hint of where to
 	// send the object's next request.
 	if j.place.Target == "" || j.place.Target == target.Name {
@@ -176,12 +176,12 @@
 			sendOutcome: sendOutcome, err: err, cancelled: ctx.Err() != nil, took: time.Since(start),
 		})
 	}
-	svc.done(target, outcome)
+	svc.done(decision.Target, outcome)
 	return out, state
 }
 
 // observe reports the load that a target sent with its answer, if the report is usable.
-func (c *Carrier) observe(target *placer.Target, l *messenger.Load) {
+func (c *Carrier) observe(target *placer.Spec, l *messenger.Load) {
 	if load, ok := l.PerSlot(); ok {
 		c.Views.Observe(gauger.Reading{Target: gauger.Key(target.Name), PerSlot: load})
 	}
@@ -198,7 +198,7 @@
 	return context.WithDeadline(ctx, j.deadline.Add(answerMargin))
 }
 
-func (c *Carrier) outgoing(j *job, target *placer.Target, now time.Time) *pooler.Request {
+func (c *Carrier) outgoing(j *job, target *placer.Spec, now time.Time) *pooler.Request {
 	header := j.request.Header.Clone()
 	messenger.RemoveHopHeaders(header)
 	header.Del("Content-Length")
@@ -277,7 +277,7 @@
 
 // recordLoss logs and counts a failed attempt and closes the idle connections to its target. If the target may have
 // crashed while executing the request, it records the loss and reports it to all entry instances.
-func (c *Carrier) recordLoss(j *job, target *placer.Target, l loss) {
+func (c *Carrier) recordLoss(j *job, target *placer.Spec, l loss) {
 	_ = level.Info(c.Logger).Log("msg", "attempt failed", "id", j.call.ID, "target", target.Name, "zone", target.Zone,
 		"sent", l.sendOutcome != pooler.Unsent, "late", l.cancelled, "took", l.took,
 		"held", l.unacknowledged(), "err", l.err)
--- a/entry/internal/carrier/withdrawal_test.go
+++ b/entry/internal/carrier/withdrawal_test.go
@@ -52,7 +52,7 @@
 			is := is.New(t)
 			carrier, _ := startCarrier(t, scriptedAttempt{})
 			j := &job{fingerprint: quarantiner.Fingerprint{1}}
-			target := &placer.Target{Spec: placer.Spec{Name: "t1", Incarnation: 1}}
+			target := &placer.Spec{Name: "t1", Incarnation: 1}
 			carrier.recordLoss(j, target, loss{sendOutcome: pooler.Broken, err: c.err})
 			is.Equal(carrier.Quarantine.Losses(time.Now(), j.fingerprint), c.losses)
 		})
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -269,8 +269,8 @@
 	w := startWatcher(t, first)
 	waitFor(t, func() bool { return version(w) == 4 && near.requestCount() > 10 })
 	is.Equal(far.requestCount(), 1)
-	is.True(far.requests[0].GetFirst())
-	is.True(!near.requests[0].GetFirst())
+	is.True(far.request(0).GetFirst())
+	is.True(!near.request(0).GetFirst())
 }
 
 // Entry instances are reported as changed or lost, one after the other. Each is counted once among those that share the
