A planned stop closes connections on which no request has begun

Cause: Server.Shutdown waits for a connection on which nothing was sent until it is five seconds old; a controller has four for its whole stop. Clients have such connections under load: they open another while all are busy, and then use one that is free first. The listener took all the time, so that the consensus, which stops later, had none.

Ruled out: watches (they end within a second), forwarded commands (three seconds at most).

Change: 100 ms after the stop begins, unused connections are closed; a request that is on its way there is not read, so its caller may send it again. What still runs half a second before the end of the patience is cut and named in a CutError, so that the services that stop later have their time.

The same in other places: all listeners of controllers and entry instances are this one. Entry instances reserve nothing, so that no request of a caller is cut earlier than before.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
@@ -39,6 +40,8 @@
 const (
 	exitFailure  = 1
 	exitSettings = 2
+	// stopReserve is the part of the time for a planned stop that is left to close the log of the consensus.
+	stopReserve = time.Second / 2
 )
 
 // Run runs the program with its arguments, the first of which is the program's name, and returns the exit code.
@@ -185,6 +188,7 @@
 		exchange,
 		&listener.Listener{
 			ServiceName: "control", Address: settings.Control, Handler: handlers.Control(), Keys: controlKeys, Logger: logs,
+			Reserve: stopReserve,
 		},
 		&listener.Listener{
 			ServiceName: "operator",
@@ -192,6 +196,7 @@
 			Handler:     operator,
 			Keys:        &securer.Keys{Files: settings.OperatorKeys},
 			Logger:      logs,
+			Reserve:     stopReserve,
 		},
 	}
 	k.Services = append(k.Services, work)
@@ -221,7 +226,9 @@
 	var out []kernel.Service
 	for title, address := range map[string]netip.AddrPort{"callers": settings.Callers, "directory": settings.Directory} {
 		if address.IsValid() {
-			l := &listener.Listener{ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger}
+			l := &listener.Listener{
+				ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger, Reserve: stopReserve,
+			}
 			listeners = append(listeners, l)
 			out = append(out, l)
 		}
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -5,9 +5,11 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,12 +37,19 @@
 	Handler     http.Handler
 	Keys        *securer.Keys
 	Logger      log.Logger
+	// Reserve is how much of the time for a planned stop is left for the services that stop after this one.
+	Reserve time.Duration
 
 	server  *http.Server
 	serving atomic.Bool
 	// open is the number of connections that are open, accepted the number of all since Start.
 	open     atomic.Int64
 	accepted atomic.Int64
+
+	mu sync.Mutex
+	// unused are the connections on which no request has begun; stopping is set by Stop.
+	unused   map[net.Conn]bool
+	stopping bool
 }
 
 // Name implements kernel.Service; it returns ServiceName.
@@ -59,7 +68,7 @@
 		MaxHeaderBytes:    MaxHeader,
 		Protocols:         protocols,
 		ConnContext:       withConn,
-		ConnState:         l.countConnections,
+		ConnState:         l.observe,
 	}
 	if l.Keys != nil {
 		config, err := l.Keys.ServerConfig()
@@ -90,15 +99,54 @@
 	}
 }
 
-// countConnections keeps count of the connections; the server calls it with each change of a connection's state.
-func (l *Listener) countConnections(_ net.Conn, state http.ConnState) {
+// observe keeps count of the connections, and of the unused ones. The server calls it with each change of a connection's
+// state.
+func (l *Listener) observe(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		l.open.Add(1)
 		l.accepted.Add(1)
+		l.addUnused(c)
+	case http.StateIdle:
 	case http.StateClosed, http.StateHijacked:
 		l.open.Add(-1)
-	case http.StateActive, http.StateIdle:
+		l.removeUnused(c)
+	case http.StateActive:
+		l.removeUnused(c)
+	}
+}
+
+// addUnused records a connection on which no request has begun, or closes it if the listener stops.
+func (l *Listener) addUnused(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopping {
+		_ = c.Close()
+		return
+	}
+	if l.unused == nil {
+		l.unused = map[net.Conn]bool{}
+	}
+	l.unused[c] = true
+}
+
+func (l *Listener) removeUnused(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.unused, c)
+}
+
+// closeUnused closes the connections on which no request has begun. The server would wait for one for five seconds, and
+// clients keep such connections: they open one more while all are busy, and then use another that is free first.
+func (l *Listener) closeUnused() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+	if len(l.unused) > 0 {
+		_ = level.Info(l.Logger).Log("msg", "unused connections closed", "service", l.ServiceName, "connections", len(l.unused))
+	}
+	for c := range l.unused {
+		_ = c.Close()
 	}
 }
 
@@ -127,12 +175,29 @@
 	return ok && prober.Closed(c)
 }
 
-// Stop implements kernel.Service: it refuses new connections and waits for the requests in progress until ctx ends.
+// unusedGrace is how long a planned stop leaves unused connections open, for requests that are on their way.
+const unusedGrace = 100 * time.Millisecond
+
+// Stop implements kernel.Service: it refuses new connections and waits for the requests in progress. It cuts those that
+// have not ended at the deadline of ctx less Reserve, and returns a CutError.
 func (l *Listener) Stop(ctx context.Context) error {
 	if l.server == nil {
 		return nil
 	}
-	return l.server.Shutdown(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		limited, cancel := context.WithDeadline(ctx, deadline.Add(-l.Reserve))
+		defer cancel()
+		ctx = limited
+	}
+	grace := time.AfterFunc(unusedGrace, l.closeUnused)
+	defer grace.Stop()
+	if err := l.server.Shutdown(ctx); err != nil {
+		open, _ := l.Connections()
+		_ = level.Warn(l.Logger).Log("msg", "requests cut by the stop", "service", l.ServiceName, "connections", open)
+		_ = l.server.Close()
+		return &CutError{Listener: l.ServiceName, Connections: open, Cause: err}
+	}
+	return nil
 }
 
 // Health implements kernel.Service.
@@ -150,3 +215,18 @@
 
 // Error implements error.
 func (e *ClosedError) Error() string { return "listener " + e.Listener + " is closed" }
+
+// CutError reports that requests were cut by a planned stop.
+type CutError struct {
+	Listener    string
+	Connections int64
+	Cause       error
+}
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("listener %s cut requests on %d connections: %v", e.Listener, e.Connections, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Cause }
--- a/standin/internal/trials/platform_test.go
+++ b/standin/internal/trials/platform_test.go
@@ -242,3 +242,22 @@
 	}
 	is.True(complete > len(answers)*8/10)
 }
+
+// Guards against controllers whose planned stop fails while callers are served: the process ends with an error, and its
+// log may not be closed.
+func TestPlannedStopsOfControllersUnderLoad(t *testing.T) {
+	f := startFleet(t, 3, 4, 6)
+	stop := f.load(8)
+	for round := range 2 {
+		for i := range 3 {
+			is := is.New(t)
+			is.NoErr(f.Controllers[i].Stop(10 * time.Second))
+			is.NoErr(f.StartPlatformController(i, false))
+			until(t, fmt.Sprintf("a plan is accepted in round %d without controller %d", round, i), func() bool {
+				v := 2 + 3*round + i
+				return f.operator.Put(context.Background(), speaker.Plan(v, v-1, service)) == http.StatusOK
+			})
+		}
+	}
+	f.check(t, stop())
+}
