Load past the limit slows a controller: answers in parts, bounded connections, a memory limit

Cause, by the counts at 6,000 targets on the scratch site: answers of several thousand records are sent again and again while they do not arrive in time; each starting instance was told to all others at once, for it is marked as leaving; accept ran out of descriptors, also at the address for other controllers; no memory limit was set.

Change: a watch answer holds 512 records at most, so that each brings its instance further, and the first view waits for all parts. Full parts are kept over notifications: what has changed since follows behind them. Ordinary changes are gathered for six times as long as building the last ones took, at most a second. Starting instances are no urgent change. Connections of targets and clients get 70% of the descriptors; further ones are reset. The kernel sets the memory limit of the runtime, for controllers too.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
@@ -42,6 +43,9 @@
 	exitSettings = 2
 	// stopReserve is the part of the time for a planned stop that is left to close the log of the consensus.
 	stopReserve = time.Second / 2
+	// callerPercent is the percentage of the descriptors that connections of targets and clients may use. A full table of
+	// descriptors would keep out the calls of other controllers.
+	callerPercent = 70
 )
 
 // Run runs the program with its arguments, the first of which is the program's name, and returns the exit code.
@@ -148,23 +152,7 @@
 	fatal := make(chan error, 1)
 	controlKeys := &securer.Keys{Files: settings.ControlKeys}
 	sender := &courier.Courier{Dialer: &dialer.Dialer{Keys: controlKeys}, Logger: logs}
-	consensus := &consenter.Consenter{
-		Folder:    settings.Folder,
-		Member:    &wire.Member{Name: settings.Name, Address: settings.Control.String()},
-		Peers:     settings.Peers,
-		MaxVoters: settings.MaxVoters,
-		Bootstrap: settings.Bootstrap,
-		Timing: replicator.Timing{
-			Election:     settings.Election,
-			Heartbeat:    settings.Heartbeat,
-			ReplaceAfter: settings.ReplaceAfter,
-		},
-		Lease:  settings.Lease,
-		Quotas: settings.Quotas,
-		Sender: sender,
-		Logger: logs,
-		Fatal:  fatal,
-	}
+	consensus := newConsenter(settings, sender, logs, fatal)
 	work := &counter.Counter{Logger: logs}
 	exchange := &exchanger.Exchanger{
 		Self: settings.Name, Region: settings.Region, Consensus: consensus,
@@ -179,7 +167,9 @@
 		Counter: work,
 	}
 	operator := handlers.Operator()
-	k := &kernel.Kernel{Logger: logs, StopTimeout: settings.StopTimeout, Fatal: fatal}
+	k := &kernel.Kernel{
+		Logger: logs, StopTimeout: settings.StopTimeout, MemoryLimit: settings.MemoryLimit, Fatal: fatal,
+	}
 	registry.MustRegister(&server.Collector{Summary: consensus.Summary}, work)
 	reporter.Mount(operator, registry, k)
 	k.Services = []kernel.Service{
@@ -207,14 +197,27 @@
 	return k, closeLog
 }
 
-// sumConnections returns how many connections of some listeners are open, and how many they have accepted.
-func sumConnections(listeners []*listener.Listener) (open, accepted int64) {
-	for _, l := range listeners {
-		o, a := l.Connections()
-		open += o
-		accepted += a
+// newConsenter returns the service of the replicated control state.
+func newConsenter(
+	settings *config.Config, sender consenter.Sender, logs log.Logger, fatal chan<- error,
+) *consenter.Consenter {
+	return &consenter.Consenter{
+		Folder:    settings.Folder,
+		Member:    &wire.Member{Name: settings.Name, Address: settings.Control.String()},
+		Peers:     settings.Peers,
+		MaxVoters: settings.MaxVoters,
+		Bootstrap: settings.Bootstrap,
+		Timing: replicator.Timing{
+			Election:     settings.Election,
+			Heartbeat:    settings.Heartbeat,
+			ReplaceAfter: settings.ReplaceAfter,
+		},
+		Lease:  settings.Lease,
+		Quotas: settings.Quotas,
+		Sender: sender,
+		Logger: logs,
+		Fatal:  fatal,
 	}
-	return open, accepted
 }
 
 // platformListeners returns the listeners for calls of the users' platform, as far as the settings define their
@@ -224,15 +227,34 @@
 ) []kernel.Service {
 	var listeners []*listener.Listener
 	var out []kernel.Service
+	var bound *listener.Bound
+	if settings.Descriptors > 0 {
+		bound = &listener.Bound{Max: settings.Descriptors * callerPercent / 100}
+	}
 	for title, address := range map[string]netip.AddrPort{"callers": settings.Callers, "directory": settings.Directory} {
 		if address.IsValid() {
 			l := &listener.Listener{
-				ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger, Reserve: stopReserve,
+				ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger,
+				Bound: bound, Reserve: stopReserve,
 			}
 			listeners = append(listeners, l)
 			out = append(out, l)
 		}
 	}
-	work.Connections = func() (int64, int64) { return sumConnections(listeners) }
+	work.Connections = func() counter.Connections { return sumConnections(listeners) }
+	return out
+}
+
+// sumConnections returns the sums of the connections of some listeners.
+func sumConnections(listeners []*listener.Listener) counter.Connections {
+	var out counter.Connections
+	for _, l := range listeners {
+		open, accepted := l.Connections()
+		out.Open += open
+		out.Accepted += accepted
+		if l.Bound != nil {
+			out.Refused = l.Bound.Refused() // all have the same bound
+		}
+	}
 	return out
 }
--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -31,6 +31,12 @@
 	// one.
 	defaultQuotaWindow = 5 * time.Second
 	minQuotaWindow     = 100 * time.Millisecond
+	// minMemory and maxMemory bound the memory setting, in megabytes, minDescriptors and maxDescriptors that of the file
+	// descriptors.
+	minMemory      = 32
+	maxMemory      = 1 << 20
+	minDescriptors = 64
+	maxDescriptors = 1 << 20
 	// maxQuotaSlack bounds the number of requests by which a quota may be exceeded.
 	maxQuotaSlack = 1e6
 )
@@ -69,6 +75,11 @@
 	// Quotas defines how exactly organisations' quotas are enforced.
 	Quotas quoter.Tolerance
 
+	// MemoryLimit is how much memory the process may use, in bytes, and Descriptors how many file descriptors; zero sets
+	// no limit.
+	MemoryLimit int64
+	Descriptors int
+
 	TokenFile    string
 	Token        string
 	ControlKeys  securer.Files
@@ -150,6 +161,10 @@
 			Overage: d.Float(s, "overage", 0, 0, 1),
 			Slack:   d.Float(s, "slack", 0, 0, maxQuotaSlack),
 		}
+	case "memory":
+		c.MemoryLimit = d.Number(s, "limit", 0, minMemory, maxMemory) << 20
+	case "descriptors":
+		c.Descriptors = int(d.Number(s, "limit", 0, minDescriptors, maxDescriptors))
 	case "operator":
 		c.TokenFile = d.Optional(s, "token")
 	case "tls":
@@ -158,7 +173,8 @@
 		c.LogFormat = d.Choice(s, "format", "logfmt", "logfmt", "json")
 		c.LogLevel = d.Choice(s, "level", "info", "debug", "info", "warn", "error")
 	default:
-		d.Fault(s, "", "controller, listen, peers, seeds, zones, timing, quota, operator, tls or log", strconv.Quote(s.Kind))
+		d.Fault(s, "", "controller, listen, peers, seeds, zones, timing, quota, memory, "+
+			"descriptors, operator, tls or log", strconv.Quote(s.Kind))
 	}
 }
 
--- a/controller/internal/counter/counter.go
+++ b/controller/internal/counter/counter.go
@@ -54,11 +54,20 @@
 // logInterval is the interval of the log lines.
 const logInterval = 5 * time.Second
 
+// Connections are the sums of callers' connections.
+type Connections struct {
+	// Open is the number of connections that are open now, Accepted that of all since the start.
+	Open     int64
+	Accepted int64
+	// Refused is the number of connections that were closed at once since too many were open.
+	Refused int64
+}
+
 // Counter is the service. Its zero value counts; set the exported fields before Start.
 type Counter struct {
 	Logger log.Logger
-	// Connections returns how many connections of callers are open, and how many have been accepted in all.
-	Connections func() (open, accepted int64)
+	// Connections returns the sums of the connections of callers.
+	Connections func() Connections
 
 	sums   [kinds]atomic.Uint64
 	cancel context.CancelFunc
@@ -111,16 +120,18 @@
 
 // sums are all sums at one moment.
 type sums struct {
-	work     [kinds]uint64
-	accepted int64
+	work        [kinds]uint64
+	connections Connections
 }
 
 // logWork logs what has been done since the last sums, and returns the present ones.
 func (c *Counter) logWork(last sums) sums {
-	now := sums{}
-	open, accepted := c.Connections()
-	now.accepted = accepted
-	line := []any{"msg", "work", "interval", logInterval, "open", open, "accepted", accepted - last.accepted}
+	now := sums{connections: c.Connections()}
+	line := []any{
+		"msg", "work", "interval", logInterval, "open", now.connections.Open,
+		"accepted", now.connections.Accepted - last.connections.Accepted,
+		"refused", now.connections.Refused - last.connections.Refused,
+	}
 	for kind := range kinds {
 		now.work[kind] = c.Sum(kind)
 		line = append(line, names[kind], now.work[kind]-last.work[kind])
@@ -132,12 +143,15 @@
 var (
 	workDesc = prometheus.NewDesc("chervilrail_controller_work_total", "What the controller has done, by kind.",
 		[]string{"kind"}, nil)
+	callersDesc = prometheus.NewDesc("chervilrail_controller_callers_total",
+		"Connections of callers that were accepted or refused.", []string{"event"}, nil)
 	openDesc = prometheus.NewDesc("chervilrail_controller_connections", "Open connections of callers.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c *Counter) Describe(ch chan<- *prometheus.Desc) {
 	ch <- workDesc
+	ch <- callersDesc
 	ch <- openDesc
 }
 
@@ -146,6 +160,11 @@
 	for kind := range kinds {
 		ch <- prometheus.MustNewConstMetric(workDesc, prometheus.CounterValue, float64(c.Sum(kind)), names[kind])
 	}
-	open, _ := c.Connections()
-	ch <- prometheus.MustNewConstMetric(openDesc, prometheus.GaugeValue, float64(open))
+	connections := c.Connections()
+	ch <- prometheus.MustNewConstMetric(openDesc, prometheus.GaugeValue, float64(connections.Open))
+	for event, count := range map[string]int64{
+		"accepted": connections.Accepted, "refused": connections.Refused,
+	} {
+		ch <- prometheus.MustNewConstMetric(callersDesc, prometheus.CounterValue, float64(count), event)
+	}
 }
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -134,9 +134,7 @@
 // notifyWatchers closes the channel that watch calls wait on and replaces it. They receive all changes up to now. The
 // caller holds the lock.
 func (x *Exchanger) notifyWatchers() {
-	if x.shared.upTo != x.gossip.Counter() {
-		x.shared.upTo, x.shared.after = x.gossip.Counter(), nil
-	}
+	x.shared.advance(x.gossip.Counter())
 	if x.changed != nil {
 		close(x.changed)
 		x.changed = make(chan struct{})
@@ -200,7 +198,7 @@
 		return
 	}
 	x.ordinaryPending = true
-	time.AfterFunc(ordinaryDelay, func() {
+	time.AfterFunc(x.shared.ordinaryDelay(), func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.ordinaryPending = false
--- a/controller/internal/exchanger/shared.go
+++ b/controller/internal/exchanger/shared.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"maps"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -15,9 +16,12 @@
 
 const (
 	// maxSharedAge is how long changes are shared; the remaining cold times of targets in them are older by that much.
-	maxSharedAge = 200 * time.Millisecond
-	// maxShared is how many positions the changes after which are kept.
+	maxSharedAge = time.Second
+	// maxShared is how many sets of changes are kept.
 	maxShared = 64
+	// maxRecords is the largest number of records in a response. A response with thousands of them may take an overloaded
+	// controller longer than its instance waits; each of these brings the instance further.
+	maxRecords = 512
 )
 
 // sharedChanges keeps what many entry instances receive alike, so that each change is copied, encoded and compressed
@@ -28,39 +32,74 @@
 	// upTo is the counter of the gossip state up to which watchers receive changes. It advances when they are notified,
 	// so that all that are answered meanwhile reach the same position, and receive the same the next time.
 	upTo uint64
-	// after holds the changes after each position. It is valid until expires.
-	after   map[gossiper.Position]*changeSet
-	expires time.Time
+	// after holds the changes after each position.
+	after map[setKey]*changeSet
+	// spent is how long building took since the last notification.
+	spent time.Duration
 	// plan and packedPlan are the plan that was packed last and its encoding.
 	plan       *wire.Plan
 	packedPlan []byte
 }
 
+const (
+	// ordinaryDelay is how long changes that take nothing out of use are gathered at least, and maxOrdinaryDelay at most.
+	ordinaryDelay    = 150 * time.Millisecond
+	maxOrdinaryDelay = time.Second
+	// restFactor is how many times as long as building the last changes took the next ones are gathered, so that while
+	// thousands of targets start, building takes a small part of the processor.
+	restFactor = 6
+)
+
+// ordinaryDelay returns how long to gather ordinary changes now.
+func (s *sharedChanges) ordinaryDelay() time.Duration {
+	return min(maxOrdinaryDelay, max(ordinaryDelay, restFactor*s.spent))
+}
+
+// setKey is a position, and the most records to be sent after it.
+type setKey struct {
+	position gossiper.Position
+	limit    int
+}
+
 // changeSet is the changes after one position. packed is their encoding if they are large.
 type changeSet struct {
 	changes *gossiper.Changes
 	packed  []byte
+	expires time.Time
+}
+
+// advance makes watchers receive changes up to a counter. Sets with a part of the records stay: what has changed since
+// follows after the position that they lead to.
+func (s *sharedChanges) advance(upTo uint64) {
+	if s.upTo == upTo {
+		return
+	}
+	s.upTo, s.spent = upTo, 0
+	maps.DeleteFunc(s.after, func(_ setKey, set *changeSet) bool { return !set.changes.Partial })
 }
 
 // changesAfter returns the changes after a position. The caller holds the lock.
-func (x *Exchanger) changesAfter(now time.Time, p gossiper.Position) *changeSet {
+func (x *Exchanger) changesAfter(now time.Time, p gossiper.Position, limit int) *changeSet {
 	s := &x.shared
 	if s.upTo == 0 {
 		// Counter 0 stands for a watcher that has received nothing.
 		s.upTo = x.gossip.Counter()
 	}
-	if s.after == nil || !now.Before(s.expires) || len(s.after) >= maxShared {
-		s.after, s.expires = map[gossiper.Position]*changeSet{}, now.Add(maxSharedAge)
-	}
-	if set, ok := s.after[p]; ok {
+	key := setKey{p, limit}
+	if set, ok := s.after[key]; ok && now.Before(set.expires) {
 		return set
 	}
-	set := &changeSet{changes: x.gossip.ChangesSince(now, p, s.upTo)}
+	if s.after == nil || len(s.after) >= maxShared {
+		s.after = map[setKey]*changeSet{}
+	}
+	started := time.Now()
+	defer func() { s.spent += time.Since(started) }()
+	set := &changeSet{changes: x.gossip.ChangesSince(now, p, s.upTo, limit), expires: now.Add(maxSharedAge)}
 	x.Counter.Add(counter.Sets, 1)
 	set.packed = x.pack(&wire.WatchResponse{
 		Records: set.changes.Records, Seen: set.changes.Seen, Whole: set.changes.Whole, Losses: set.changes.Losses,
 	})
-	s.after[p] = set
+	s.after[key] = set
 	return set
 }
 
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -11,13 +11,9 @@
 	"chervilrail.example/core/wire"
 )
 
-const (
-	// changesDelay is how long changes are batched before watch calls are answered. Changes come in groups, and each
-	// answer costs every entry instance another call.
-	changesDelay = 50 * time.Millisecond
-	// ordinaryDelay is how long changes that take nothing out of use are batched besides.
-	ordinaryDelay = 150 * time.Millisecond
-)
+// changesDelay is how long changes are batched before watch calls are answered. Changes come in groups, and each answer
+// costs every entry instance another call.
+const changesDelay = 50 * time.Millisecond
 
 // Watch implements the long poll of entry instances: it answers as soon as there are changes that the instance has not
 // seen, or after watchTimeout. The first call of an instance outside this controller's region is answered with the
@@ -75,16 +71,18 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	position := gossiper.Position{Records: r.GetCounter(), Instances: r.GetCounter()}
+	limit := 0
 	if r.GetUnpacks() {
-		position.Instances = r.GetObserved()
+		position.Instances, limit = r.GetObserved(), maxRecords
 	}
 	hosted, loaded := r.GetHosted(), r.GetLoaded()
 	if r.GetRun() != x.gossip.Run {
 		position, hosted, loaded = gossiper.Position{}, 0, 0
 	}
-	set := x.changesAfter(now, position)
+	set := x.changesAfter(now, position, limit)
 	out := &wire.WatchResponse{
-		Run: x.gossip.Run, Counter: x.shared.upTo, Linked: hasQuorum, Revision: routing.Revision,
+		Run: x.gossip.Run, Counter: set.changes.Next.Records, Observed: set.changes.Next.Instances,
+		Partial: set.changes.Partial, Linked: hasQuorum, Revision: routing.Revision,
 	}
 	if set.packed != nil && r.GetUnpacks() {
 		out.Packed = append(out.Packed, set.packed)
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -75,7 +75,7 @@
 	}
 	for _, s := range r.GetSeen() {
 		at := now.Add(-time.Duration(s.GetAge()))
-		g.recordInstances(g.instances.observe(s.GetNode(), at, false, g.counter), s.GetNode().GetLeaving(), false)
+		g.recordInstances(g.instances.observe(s.GetNode(), at, false, g.counter), stops(s.GetNode()), false)
 	}
 	g.ReportLosses(now, r.GetLosses(), false)
 	g.mergeHosts(r.GetHosts(), false)
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -280,6 +280,9 @@
 	Seen   []*wire.Seen
 	Whole  bool
 	Losses []*wire.Loss
+	// Next is the position that the watcher has reached with these changes; Partial is set if records were left out.
+	Next    Position
+	Partial bool
 }
 
 // Empty reports whether there are no changes.
@@ -294,16 +297,27 @@
 }
 
 // ChangesSince returns the changes after a position and up to a counter, for a watcher that has received everything up
-// to that position. What has changed again since that counter is left out.
-func (g *Gossiper) ChangesSince(now time.Time, p Position, upTo uint64) *Changes {
-	out := &Changes{}
+// to that position: at most limit records, the oldest first, if limit is not zero. What has changed again since that
+// counter is left out.
+func (g *Gossiper) ChangesSince(now time.Time, p Position, upTo uint64, limit int) *Changes {
+	out := &Changes{Next: Position{upTo, upTo}}
 	for _, name := range g.changeLog.since(p.Records, g.LastChange) {
-		if g.LastChange(name) <= upTo {
-			out.Records = g.appendRecord(out.Records, now, name)
+		changed := g.LastChange(name)
+		if changed > upTo {
+			break
 		}
+		if limit > 0 && len(out.Records) == limit {
+			out.Partial = true
+			break
+		}
+		out.Next.Records = changed
+		out.Records = g.appendRecord(out.Records, now, name)
+	}
+	if !out.Partial {
+		out.Next.Records = upTo
 	}
 	for _, l := range g.losses {
-		if l.counter > p.Records && l.counter <= upTo {
+		if l.counter > p.Records && l.counter <= out.Next.Records {
 			out.Losses = append(out.Losses, l.report)
 		}
 	}
--- a/core/gossiper/nodes.go
+++ b/core/gossiper/nodes.go
@@ -135,9 +135,12 @@
 // ObserveInstance records a call of an entry instance to this controller.
 func (g *Gossiper) ObserveInstance(now time.Time, n *wire.Node) {
 	g.init()
-	g.recordInstances(g.instances.observe(n, now, true, g.counter), n.GetLeaving(), true)
+	g.recordInstances(g.instances.observe(n, now, true, g.counter), stops(n), true)
 }
 
+// stops reports whether an entry instance stops. One that starts counts as leaving, too, but was not in use before.
+func stops(n *wire.Node) bool { return n.GetLeaving() && !n.GetStarting() }
+
 // recordInstances sets the counter to its value after an observation of entry instances, and the marks if that was a
 // change. It is urgent if it takes instances out of use, and direct if this controller has to send it to the others.
 func (g *Gossiper) recordInstances(counter uint64, urgent, direct bool) {
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,12 +36,18 @@
 	Services []Service
 	// StopTimeout is how long all services together may take to stop.
 	StopTimeout time.Duration
+	// MemoryLimit is how much memory the process may use, in bytes; zero sets no limit.
+	MemoryLimit int64
 	// Fatal receives the error of a service that can't continue; Run then stops all services and returns the error.
 	Fatal chan error
 
 	started []Service
 }
 
+// memoryShare is the part of the memory limit that is set as the Go runtime's soft limit, above which the garbage
+// collector works harder. The rest is for stacks, kernel buffers and memory that is freed late.
+const memoryShare = 0.6
+
 // Find implements Finder. The error is a *ServiceError.
 func (k *Kernel) Find(name string) (Service, error) {
 	for _, s := range k.Services {
@@ -51,9 +58,12 @@
 	return nil, &ServiceError{Service: name, Action: "find", Cause: errors.New("no such service")}
 }
 
-// Run starts all services, waits until ctx ends or a service fails, and stops the started services. It returns the
-// error of starting or of the failed service, joined with those of stopping.
+// Run sets the runtime's memory limit, starts all services, waits until ctx ends or a service fails, and stops the started services. It
+// returns the error of starting or of the failed service, joined with those of stopping.
 func (k *Kernel) Run(ctx context.Context) error {
+	if k.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(float64(k.MemoryLimit) * memoryShare))
+	}
 	err := k.start(ctx)
 	if err == nil {
 		err = k.wait(ctx)
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -37,6 +37,8 @@
 	Handler     http.Handler
 	Keys        *securer.Keys
 	Logger      log.Logger
+	// Bound limits the open connections, possibly together with those of other listeners; nil stands for no limit.
+	Bound *Bound
 	// Reserve is how much of the time for a planned stop is left for the services that stop after this one.
 	Reserve time.Duration
 
@@ -81,6 +83,9 @@
 	if err != nil {
 		return err
 	}
+	if l.Bound != nil {
+		socket = &boundedListener{socket, l.Bound}
+	}
 	l.serving.Store(true)
 	go l.serve(socket)
 	return nil
@@ -110,6 +115,9 @@
 	case http.StateIdle:
 	case http.StateClosed, http.StateHijacked:
 		l.open.Add(-1)
+		if l.Bound != nil {
+			l.Bound.open.Add(-1)
+		}
 		l.removeUnused(c)
 	case http.StateActive:
 		l.removeUnused(c)
--- a/core/listener/listener_test.go
+++ b/core/listener/listener_test.go
@@ -92,3 +92,34 @@
 	is.True(errors.As(stop(l), &cut))
 	is.True(time.Since(started) < patience*3/4)
 }
+
+// Guards against callers whose connections take all descriptors of a controller, so that it can't accept the calls of the
+// others.
+func TestFurtherConnectionsAreRefused(t *testing.T) {
+	is := is.New(t)
+	l := &Listener{
+		ServiceName: "test", Address: freeAddress(t), Logger: log.NewNopLogger(), Bound: &Bound{Max: 2},
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+	}
+	is.NoErr(l.Start(t.Context(), nil))
+	defer func() { is.NoErr(stop(l)) }()
+	get := func(c *http.Client) error {
+		response, err := c.Get("http://" + l.Address.String())
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err
+	}
+	clients := []*http.Client{{Transport: &http.Transport{}}, {Transport: &http.Transport{}}, {Transport: &http.Transport{}}}
+	is.NoErr(get(clients[0]))
+	is.NoErr(get(clients[1]))
+	is.True(get(clients[2]) != nil)
+	is.True(l.Bound.Refused() > 0)
+	clients[0].CloseIdleConnections()
+	deadline := time.Now().Add(patience)
+	for get(clients[2]) != nil {
+		is.True(time.Now().Before(deadline))
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(get(clients[1]))
+}
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -29,10 +28,6 @@
 	"chervilrail.example/platform/translator"
 )
 
-// memoryShare is the part of the memory limit that is set as the Go runtime's soft limit, above which the garbage
-// collector works harder. The rest is for stacks, kernel buffers and memory that is freed late.
-const memoryShare = 0.6
-
 // confirmedLosses is how many targets have to die while they run a request before it is quarantined. Targets break
 // off answers for other reasons, too, and a popular request is in flight at many of them.
 const confirmedLosses = 3
@@ -105,11 +100,8 @@
 	}
 }
 
-// run sets the runtime's memory limit and runs all services until ctx ends or one of them fails.
+// run runs all services until ctx ends or one of them fails.
 func (p *planProgram) run(ctx context.Context) error {
-	if p.settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(float64(p.settings.MemoryLimit) * memoryShare))
-	}
 	_ = level.Info(p.logger).Log("msg", "starting", "caller", p.settings.Caller, "region", p.settings.Region,
 		"zone", p.settings.Zone)
 	err := p.kernel().Run(ctx)
@@ -119,7 +111,10 @@
 
 // kernel lists the services in the order of their start; they stop in reverse.
 func (p *planProgram) kernel() *kernel.Kernel {
-	k := &kernel.Kernel{Logger: p.logger, StopTimeout: p.settings.StopTimeout, Fatal: make(chan error, 1)}
+	k := &kernel.Kernel{
+		Logger: p.logger, StopTimeout: p.settings.StopTimeout, MemoryLimit: p.settings.MemoryLimit,
+		Fatal: make(chan error, 1),
+	}
 	operator := http.NewServeMux()
 	reporter.Mount(operator, p.registry, k)
 	s := p.settings
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -34,7 +34,7 @@
 func (w *Watcher) apply(now time.Time, r *wire.WatchResponse) {
 	s := &w.state
 	s.position = position{run: r.GetRun(), counter: r.GetCounter(), hosted: r.GetHosted()}
-	s.observed, s.loaded = r.GetCounter(), r.GetLoaded()
+	s.observed, s.loaded = cmp.Or(r.GetObserved(), r.GetCounter()), r.GetLoaded()
 	w.applyControllers(r)
 	stale := w.applyRouting(now, r)
 	stale = w.applyRecords(now, r.GetRecords()) || stale
@@ -49,7 +49,11 @@
 	if len(r.GetLoads().GetTargets()) > 0 {
 		w.OnLoads(gauger.Decode(r.GetLoads()))
 	}
-	if stale && s.plan != nil {
+	s.unpublished = s.unpublished || stale
+	// Objects placed by the first part of the targets would move again with the next.
+	incomplete := r.GetPartial() && w.View() == nil
+	if s.unpublished && s.plan != nil && !incomplete {
+		s.unpublished = false
 		w.publish(now)
 	}
 }
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -97,7 +97,9 @@
 	targets   registrar.Registrar
 	coldUntil map[string]time.Time
 	instances map[string]*wire.Node
-	failing   bool
+	// unpublished is set while the state contains changes that no view shows.
+	unpublished bool
+	failing     bool
 	// retryPause is the pause after the next failure.
 	retryPause time.Duration
 	// avoidUntil holds until when a controller that failed is not called while there are others.
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -351,3 +351,18 @@
 	time.Sleep(1500 * time.Millisecond)
 	is.True(c.requestCount() <= 12) // 25 with 50 ms between them
 }
+
+// Guards against an instance that starts to place objects by the first part of the targets, and moves most of them with
+// the next.
+func TestFirstViewWaitsForAllParts(t *testing.T) {
+	is := is.New(t)
+	part := answer(3, 1, true, target(1, wire.TargetState_TARGET_READY))
+	part.Partial = true
+	c, address := startController(t, part)
+	w := startWatcher(t, address)
+	waitFor(t, func() bool { return c.requestCount() > 3 })
+	is.True(w.View() == nil)
+	c.setAnswer(&wire.WatchResponse{Run: 1, Counter: 4, Linked: true, Revision: 3})
+	waitFor(t, func() bool { return w.View() != nil })
+	is.Equal(len(w.View().Targets["listings"]), 1)
+}
