Instances wait longer for a controller once two calls in a row ran out of time

Cause, as far as known: its link of 2 Mbit/s is full after the restart, so each answer comes later than the 1.8 s that it waits; it gives the call up, and asks again for the same.

Change: the time-out doubles after two calls in a row that ran out of time, at most twice.

Test: TestLateAnswersArrive, with answers that take 0.4 s longer than the time-out; it fails with a fixed time-out.

--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -30,6 +30,10 @@
 	// callTimeout covers the second for which a controller holds a call without changes, and a round trip with one lost
 	// packet. A change has to be in force within 2.5 s, also where a controller has just frozen.
 	callTimeout = 1800 * time.Millisecond
+	// callsPerTimeout is how many calls in a row run out of time before the time-out doubles, and maxDoublings how often
+	// it does. Where the link of this instance is full, all answers come late: given up each time, none would ever arrive.
+	callsPerTimeout = 2
+	maxDoublings    = 2
 	// minRetryPause is the pause after a controller failed or reported that it can't reach most of the voters. It doubles
 	// with each further failure, up to maxRetryPause: hundreds of instances that call again at once would take the
 	// controllers the time that they need to elect a leader.
@@ -100,8 +104,9 @@
 	// unpublished is set while the state contains changes that no view shows.
 	unpublished bool
 	failing     bool
-	// retryPause is the pause after the next failure.
+	// retryPause is the pause after the next failure, timeouts how many calls in a row have run out of time.
 	retryPause time.Duration
+	timeouts   int
 	// avoidUntil holds until when a controller that failed is not called while there are others.
 	avoidUntil map[netip.AddrPort]time.Time
 }
@@ -212,7 +217,7 @@
 	}
 	controller := s.controller // a copy: the reporter reads it while this goroutine may switch to another controller
 	w.reporter.controller.Store(&controller)
-	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(w.ctx, callTimeout<<min(s.timeouts/callsPerTimeout, maxDoublings))
 	defer cancel()
 	client := wireconnect.NewExchangeClient(w.client, w.Dialer.URL(s.controller))
 	response, err := client.Watch(ctx, connect.NewRequest(w.request()))
@@ -220,9 +225,12 @@
 		err = packer.Unpack(response.Msg)
 	}
 	if err != nil {
+		if ctx.Err() != nil {
+			s.timeouts++
+		}
 		return w.handleError(err)
 	}
-	s.polled = true
+	s.polled, s.timeouts = true, 0
 	if s.failing {
 		s.failing = false
 		_ = level.Info(w.Logger).Log("msg", "controller answers", "controller", s.controller)
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -366,3 +366,17 @@
 	waitFor(t, func() bool { return w.View() != nil })
 	is.Equal(len(w.View().Targets["listings"]), 1)
 }
+
+// Guards against an instance that uses an old plan for as long as its link is full: each answer of a controller comes
+// later than it waits, and asked again it sends the same once more.
+func TestLateAnswersArrive(t *testing.T) {
+	is := is.New(t)
+	c, address := startController(t, answer(3, 1, true))
+	c.delay = callTimeout + 400*time.Millisecond
+	w := startWatcher(t, address)
+	deadline := time.Now().Add((callsPerTimeout + 2) * callTimeout)
+	for w.View() == nil && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(w.View() != nil)
+}
