--- a/controller/internal/config/config_test.go
+++ b/controller/internal/config/config_test.go
@@ -87,3 +87,14 @@
 		is.True(err != nil)
 	}
 }
+
+// Guards against limits that are read in another unit than they are written in.
+func TestLimitsOfTheProcess(t *testing.T) {
+	is := is.New(t)
+	c, err := Parse("example", []byte(exampleSettings(t)+"\n[memory]\nlimit = 280\n\n[descriptors]\nlimit = 4096\n"))
+	is.NoErr(err)
+	is.Equal(c.MemoryLimit, int64(280<<20))
+	is.Equal(c.Descriptors, 4096)
+	_, err = Parse("example", []byte(exampleSettings(t)+"\n[memory]\nlimit = 1\n"))
+	is.True(err != nil)
+}
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -39,6 +39,23 @@
 	loadSamples []float64
 	// flows counts requests by window of two seconds, the region they came from and the region they ran in.
 	flows map[int]map[string]map[string]int
+	// sends lists the requests by window and the region they came from.
+	sends map[int]map[string][]sentObject
+}
+
+// sentObject is the object of a request and the region in which the request ran.
+type sentObject struct{ key, region string }
+
+// recordSend records the object of a request and the region in which it runs.
+func (r *simulation) recordSend(from, key, to string) {
+	window := int(r.now.Sub(r.start) / shiftWindow)
+	if r.sends == nil {
+		r.sends = map[int]map[string][]sentObject{}
+	}
+	if r.sends[window] == nil {
+		r.sends[window] = map[string][]sentObject{}
+	}
+	r.sends[window][from] = append(r.sends[window][from], sentObject{key, to})
 }
 
 // recordFlow counts the region in which a request runs.
@@ -421,6 +438,7 @@
 	target := d.Target
 	w := r.targets[target.Name]
 	r.recordFlow(e.region, target.Region)
+	r.recordSend(e.region, t.Key, target.Region)
 	latency := time.Duration(0)
 	if target.Region != e.region {
 		latency = interRegionLatency
