--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -37,9 +37,9 @@
 	x.update(func(now time.Time) {
 		old, known := x.gossip.Target(r.GetName())
 		moved := known && !x.gossip.Announces(r.GetName())
-		before := x.gossip.Counter()
+		before := x.gossip.Marks()
 		position = x.gossip.Announce(now, r)
-		x.countAnnouncement(ctx, moved, x.gossip.Counter() > before)
+		x.countAnnouncement(ctx, moved, x.gossip.Marks().Watched > before.Watched)
 		if !known || old.GetState() != r.GetState() || old.GetIncarnation() != r.GetIncarnation() {
 			_ = level.Info(x.Logger).Log("msg", "target announced", "target", r.GetName(), "incarnation", r.GetIncarnation(),
 				"sequence", r.GetSequence(), "service", r.GetService(), "address", r.GetAddress(), "zone", r.GetZone(),
@@ -52,14 +52,18 @@
 	return x.awaitQuorum(ctx, r.GetName(), position)
 }
 
+// countAnnouncement counts an announcement: moved if the target announced itself to another controller before, published
+// if entry instances have to receive it.
 func (x *Exchanger) countAnnouncement(ctx context.Context, moved, published bool) {
 	x.Counter.Add(counter.Announcements, 1)
-	for kind, holds := range map[counter.Kind]bool{
-		counter.Abandoned: listener.CallerDisconnected(ctx), counter.Moved: moved, counter.Published: published,
-	} {
-		if holds {
-			x.Counter.Add(kind, 1)
-		}
+	if listener.CallerDisconnected(ctx) {
+		x.Counter.Add(counter.Abandoned, 1)
+	}
+	if moved {
+		x.Counter.Add(counter.Moved, 1)
+	}
+	if published {
+		x.Counter.Add(counter.Published, 1)
 	}
 }
 
--- a/controller/internal/exchanger/shared_test.go
+++ b/controller/internal/exchanger/shared_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"chervilrail.example/controller/internal/counter"
 	"chervilrail.example/core/packer"
@@ -103,3 +104,21 @@
 	is.Equal(len(next.GetRecords()), 1)
 	is.True(time.Since(started) < ordinaryDelay+changesDelay+100*time.Millisecond)
 }
+
+// Guards against sums that count a target which turns to this controller as a change for all entry instances.
+func TestMovedAnnouncementsAreNotCountedAsPublished(t *testing.T) {
+	is := is.New(t)
+	x := startExchanger(t, "c1", "c2")
+	announceMany(t, x, 0, 1)
+	record := announcement(2, wire.TargetState_TARGET_READY)
+	record.Name, record.Address = "t0", "10.0.0.0:80"
+	x.update(func(now time.Time) {
+		x.gossip.HandleRequest(now, &wire.ExchangeRequest{From: "c2", Run: 9, Records: []*wire.Record{record}})
+	})
+	again := proto.CloneOf(record)
+	again.Sequence = 3
+	is.NoErr(x.Announce(context.Background(), again))
+	is.Equal(x.Counter.Sum(counter.Announcements), uint64(2))
+	is.Equal(x.Counter.Sum(counter.Published), uint64(1))
+	is.Equal(x.Counter.Sum(counter.Moved), uint64(1))
+}
