--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	@go test -race -count=1 $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
 # Runs the tests of the programs that serve callers with the race detector.
-CONCURRENT := ./entry/... ./controller/... ./core/listener ./core/pacer
+CONCURRENT := ./entry/... ./controller/... ./core/listener
 race-programs:
 	@go test -race -count=1 $(if $(RED),-skip '$(RED)') $(CONCURRENT)
 
