One function cuts a list of changes

Exchanges, repairs and watch answers each cut the list of changes to a number of records and worked out the counter that they reach; entry instances filtered it by a counter of their own. changeLog.part does all four. Behaviour and tests as before.

--- a/core/gossiper/changelog.go
+++ b/core/gossiper/changelog.go
@@ -1,6 +1,9 @@
 package gossiper
 
-import "sort"
+import (
+	"math"
+	"sort"
+)
 
 // changeLog lists changes, oldest first. It finds the changes that a watcher lacks without a scan of all names, most of
 // which have not changed; a controller would make that scan some hundred times a second.
@@ -39,12 +42,34 @@
 
 // since returns the names whose last change came after a counter, in the order of those changes.
 func (t *changeLog) since(counter uint64, lastChange func(name string) uint64) []string {
+	return t.part(counter, math.MaxUint64, 0, lastChange).names
+}
+
+// part is some of the names that changed after a counter, in the order of their last changes.
+type part struct {
+	names []string
+	// reached is the counter up to which the names are complete; left is set if others follow.
+	reached uint64
+	left    bool
+}
+
+// part returns the names whose last change came after a counter and not after upTo: at most limit of them, if limit is
+// not zero.
+func (t *changeLog) part(counter, upTo uint64, limit int, lastChange func(name string) uint64) part {
+	out := part{reached: upTo}
 	at := sort.Search(len(t.entries), func(i int) bool { return t.entries[i].counter > counter })
-	var out []string
 	for _, s := range t.entries[at:] {
-		if lastChange(s.name) == s.counter {
-			out = append(out, s.name)
+		if s.counter > upTo {
+			break
+		}
+		if lastChange(s.name) != s.counter {
+			continue
+		}
+		if limit > 0 && len(out.names) == limit {
+			out.reached, out.left = lastChange(out.names[limit-1]), true
+			break
 		}
+		out.names = append(out.names, s.name)
 	}
 	return out
 }
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -26,7 +26,13 @@
 	g.init()
 	p := g.peer(name)
 	out := &wire.ExchangeRequest{From: g.Self, Run: g.Run, Digest: g.digest, Region: g.Region}
-	out.Records, out.Counter, out.Partial = g.outgoingRecords(now, p.acked)
+	changed := g.outgoing.part(p.acked, g.counter, maxRecords, g.lastOutgoing)
+	out.Counter, out.Partial = changed.reached, changed.left
+	for _, name := range changed.names {
+		if g.statuses[name].direct {
+			out.Records = g.appendRecord(out.Records, now, name)
+		}
+	}
 	out.Records = append(out.Records, g.repairRecords(now, p)...)
 	out.Seen = g.instances.connected(now)
 	for _, l := range g.losses {
@@ -43,24 +49,6 @@
 	return out
 }
 
-// outgoingRecords returns the oldest records that have to be sent to a controller that has acknowledged everything up
-// to a counter, the counter up to which they reach, and whether further ones are left.
-func (g *Gossiper) outgoingRecords(now time.Time, acked uint64) ([]*wire.Record, uint64, bool) {
-	names := g.outgoing.since(acked, g.lastOutgoing)
-	upTo, partial := g.counter, len(names) > maxRecords
-	if partial {
-		names = names[:maxRecords]
-		upTo = g.lastOutgoing(names[maxRecords-1])
-	}
-	var out []*wire.Record
-	for _, name := range names {
-		if g.statuses[name].direct {
-			out = g.appendRecord(out, now, name)
-		}
-	}
-	return out, upTo, partial
-}
-
 // Pending reports whether changes or records of a repair are left to be sent to a controller.
 func (g *Gossiper) Pending(name string) bool {
 	p := g.peer(name)
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -2,7 +2,7 @@
 // It is a state machine; its caller holds one lock around all calls.
 //
 // A controller sends the others only the changes of targets that announce themselves to it directly. It sends all its
-// records only when a digest shows that it has differed from another controller for longer than a change takes to
+// records, in parts, only when a digest shows that it has differed from another controller for longer than a change takes to
 // arrive. While nothing changes, an exchange therefore costs a few bytes per period and controller, whatever the number
 // of targets.
 package gossiper
@@ -300,22 +300,11 @@
 // to that position: at most limit records, the oldest first, if limit is not zero. What has changed again since that
 // counter is left out.
 func (g *Gossiper) ChangesSince(now time.Time, p Position, upTo uint64, limit int) *Changes {
-	out := &Changes{Next: Position{upTo, upTo}}
-	for _, name := range g.changeLog.since(p.Records, g.LastChange) {
-		changed := g.LastChange(name)
-		if changed > upTo {
-			break
-		}
-		if limit > 0 && len(out.Records) == limit {
-			out.Partial = true
-			break
-		}
-		out.Next.Records = changed
+	changed := g.changeLog.part(p.Records, upTo, limit, g.LastChange)
+	out := &Changes{Next: Position{changed.reached, upTo}, Partial: changed.left}
+	for _, name := range changed.names {
 		out.Records = g.appendRecord(out.Records, now, name)
 	}
-	if !out.Partial {
-		out.Next.Records = upTo
-	}
 	for _, l := range g.losses {
 		if l.counter > p.Records && l.counter <= out.Next.Records {
 			out.Losses = append(out.Losses, l.report)
--- a/core/gossiper/nodes.go
+++ b/core/gossiper/nodes.go
@@ -113,10 +113,8 @@
 			out = append(out, &wire.Seen{Node: &wire.Node{Name: g.name, Lost: true}})
 		}
 	}
-	for _, name := range n.changeLog.since(counter, n.lastChange) {
-		if n.lastChange(name) <= upTo {
-			out = append(out, &wire.Seen{Node: n.active[name].instance})
-		}
+	for _, name := range n.changeLog.part(counter, upTo, 0, n.lastChange).names {
+		out = append(out, &wire.Seen{Node: n.active[name].instance})
 	}
 	return out, false
 }
--- a/core/gossiper/repair.go
+++ b/core/gossiper/repair.go
@@ -45,15 +45,10 @@
 		}
 		*r = repair{active: true, pause: min(maxRepairPause, max(repairAfter, 2*r.pause))}
 	}
-	names := g.changeLog.since(r.ackedTo, g.LastChange)
-	r.last = len(names) <= maxRecords
-	r.sentTo = g.counter
-	if !r.last {
-		names = names[:maxRecords]
-		r.sentTo = g.LastChange(names[maxRecords-1])
-	}
+	changed := g.changeLog.part(r.ackedTo, g.counter, maxRecords, g.LastChange)
+	r.sentTo, r.last = changed.reached, !changed.left
 	var out []*wire.Record
-	for _, name := range names {
+	for _, name := range changed.names {
 		out = g.appendRecord(out, now, name)
 	}
 	return out
