--- a/core/placer/draws_test.go
+++ b/core/placer/draws_test.go
@@ -26,17 +26,17 @@
 			}
 		}
 	}
-	flows := func(list []sentObject) map[string]int {
-		out := map[string]int{}
-		for _, s := range list {
-			out[usual[s.key]]++
+	settle := func(list []sentObject) []sentObject {
+		out := slices.Clone(list)
+		for i, s := range list {
+			out[i].region = usual[s.key]
 			if s.region != usual[s.key] {
 				elsewhere++
 			}
 		}
 		return out
 	}
-	shift = shiftBetween(flows(next), flows(now))
+	shift = shiftBetween(flows(settle(next)), flows(settle(now)))
 	return shift, elsewhere / float64(len(now)+len(next))
 }
 
@@ -51,13 +51,14 @@
 		w.kinds[0].rate *= 0.8
 		r := newSimulation(seed, false, w)
 		r.run(30*time.Second, 0.55)
-		for window, flows := range r.flows {
-			for from, now := range flows {
-				shift := shiftBetween(r.flows[window+1][from], now)
+		for window, sends := range r.sends {
+			for from, now := range sends {
+				next := r.sends[window+1][from]
+				shift := shiftBetween(flows(next), flows(now))
 				if shift <= 0.15 || time.Duration(window+2)*shiftWindow > r.span {
 					continue
 				}
-				drawn, elsewhere := drawnShift(r.sends[window][from], r.sends[window+1][from])
+				drawn, elsewhere := drawnShift(now, next)
 				t.Logf("seed %d window %d region %s: shift %.3f, by draws alone %.3f, elsewhere %.3f", seed, window, from, shift,
 					drawn, elsewhere)
 				is.True(elsewhere < 0.05)
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -37,9 +37,7 @@
 	published   map[string]uint64
 	// loadSamples holds the requests per slot of every target, sampled in the second half of the load.
 	loadSamples []float64
-	// flows counts requests by window of two seconds, the region they came from and the region they ran in.
-	flows map[int]map[string]map[string]int
-	// sends lists the requests by window and the region they came from.
+	// sends lists the requests by window of two seconds and the region they came from.
 	sends map[int]map[string][]sentObject
 }
 
@@ -49,25 +47,19 @@
 // recordSend records the object of a request and the region in which it runs.
 func (r *simulation) recordSend(from, key, to string) {
 	window := int(r.now.Sub(r.start) / shiftWindow)
-	if r.sends == nil {
-		r.sends = map[int]map[string][]sentObject{}
-	}
 	if r.sends[window] == nil {
 		r.sends[window] = map[string][]sentObject{}
 	}
 	r.sends[window][from] = append(r.sends[window][from], sentObject{key, to})
 }
 
-// recordFlow counts the region in which a request runs.
-func (r *simulation) recordFlow(from, to string) {
-	window := int(r.now.Sub(r.start) / shiftWindow)
-	if r.flows[window] == nil {
-		r.flows[window] = map[string]map[string]int{}
+// flows counts requests by the region they ran in.
+func flows(sends []sentObject) map[string]int {
+	out := map[string]int{}
+	for _, s := range sends {
+		out[s.region]++
 	}
-	if r.flows[window][from] == nil {
-		r.flows[window][from] = map[string]int{}
-	}
-	r.flows[window][from][to]++
+	return out
 }
 
 const shiftWindow = 2 * time.Second
@@ -76,12 +68,12 @@
 // the next.
 func (r *simulation) worstShift() float64 {
 	worst := 0.0
-	for window, flows := range r.flows {
+	for window, sends := range r.sends {
 		if time.Duration(window+2)*shiftWindow > r.span {
 			continue // no requests arrive any more, only answers
 		}
-		for from, now := range flows {
-			worst = max(worst, shiftBetween(r.flows[window+1][from], now))
+		for from, now := range sends {
+			worst = max(worst, shiftBetween(flows(r.sends[window+1][from]), flows(now)))
 		}
 	}
 	return worst
@@ -184,7 +176,7 @@
 func newSimulation(seed uint64, naive bool, w world) *simulation {
 	r := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), targets: map[string]*simulatedTarget{},
-		kinds: w.kinds, naive: naive, tallies: map[string]*tally{}, flows: map[int]map[string]map[string]int{},
+		kinds: w.kinds, naive: naive, tallies: map[string]*tally{}, sends: map[int]map[string][]sentObject{},
 		world: w, regionLoads: map[string]*gauger.LoadTable{}, published: map[string]uint64{},
 	}
 	r.start = r.now
@@ -437,7 +429,6 @@
 func (r *simulation) send(e *instance, k kind, t *Ticket, d Decision, arrived time.Time) {
 	target := d.Target
 	w := r.targets[target.Name]
-	r.recordFlow(e.region, target.Region)
 	r.recordSend(e.region, t.Key, target.Region)
 	latency := time.Duration(0)
 	if target.Region != e.region {
