--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -31,10 +31,7 @@
 	// one.
 	defaultQuotaWindow = 5 * time.Second
 	minQuotaWindow     = 100 * time.Millisecond
-	// minMemory and maxMemory bound the memory setting, in megabytes, minDescriptors and maxDescriptors that of the file
-	// descriptors.
-	minMemory      = 32
-	maxMemory      = 1 << 20
+	// minDescriptors and maxDescriptors bound the setting of file descriptors.
 	minDescriptors = 64
 	maxDescriptors = 1 << 20
 	// maxQuotaSlack bounds the number of requests by which a quota may be exceeded.
@@ -162,7 +159,7 @@
 			Slack:   d.Float(s, "slack", 0, 0, maxQuotaSlack),
 		}
 	case "memory":
-		c.MemoryLimit = d.Number(s, "limit", 0, minMemory, maxMemory) << 20
+		c.MemoryLimit = d.Memory(s, "limit")
 	case "descriptors":
 		c.Descriptors = int(d.Number(s, "limit", 0, minDescriptors, maxDescriptors))
 	case "operator":
--- a/core/parser/values.go
+++ b/core/parser/values.go
@@ -100,6 +100,17 @@
 
 func realText(f float64) string { return strconv.FormatFloat(f, 'g', -1, bitSize) }
 
+// minMemory and maxMemory bound the memory of a process, in megabytes.
+const (
+	minMemory = 32
+	maxMemory = 1 << 20
+)
+
+// Memory reads an amount of memory in megabytes and returns it in bytes.
+func (d *Document) Memory(s *Section, key string) int64 {
+	return d.Number(s, key, 0, minMemory, maxMemory) << 20
+}
+
 // Duration reads a duration such as 200ms, from low to high.
 func (d *Document) Duration(s *Section, key string, fallback, low, high time.Duration) time.Duration {
 	s.read[key] = true
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -17,9 +17,6 @@
 	defaultStopTimeout   = 30 * time.Minute
 	minRenewInterval     = 10 * time.Millisecond
 	maxPort              = 1<<16 - 1
-	// minMemory and maxMemory bound the memory setting, in megabytes.
-	minMemory = 32
-	maxMemory = 1 << 20
 )
 
 // Config is an entry instance's checked settings.
@@ -122,7 +119,7 @@
 	case "seeds":
 		c.parseSeeds(d, s)
 	case "memory":
-		c.MemoryLimit = d.Number(s, "limit", 0, minMemory, maxMemory) << 20
+		c.MemoryLimit = d.Memory(s, "limit")
 	case "controllers":
 		c.parseControllers(d, s)
 	case "timing":
