--- a/controller/internal/exchanger/shared.go
+++ b/controller/internal/exchanger/shared.go
@@ -55,10 +55,10 @@
 	return min(maxOrdinaryDelay, max(ordinaryDelay, restFactor*s.spent))
 }
 
-// setKey is a position, and the most records to be sent after it.
+// setKey is a position, and whether the instances that have reached it read parts and packed responses.
 type setKey struct {
 	position gossiper.Position
-	limit    int
+	unpacks  bool
 }
 
 // changeSet is the changes after one position. packed is their encoding if they are large.
@@ -78,27 +78,34 @@
 	maps.DeleteFunc(s.after, func(_ setKey, set *changeSet) bool { return !set.changes.Partial })
 }
 
-// changesAfter returns the changes after a position. The caller holds the lock.
-func (x *Exchanger) changesAfter(now time.Time, p gossiper.Position, limit int) *changeSet {
+// changesAfter returns the changes after a position: a part of them, packed if it is large, for instances that unpack.
+// The caller holds the lock.
+func (x *Exchanger) changesAfter(now time.Time, p gossiper.Position, unpacks bool) *changeSet {
 	s := &x.shared
 	if s.upTo == 0 {
 		// Counter 0 stands for a watcher that has received nothing.
 		s.upTo = x.gossip.Counter()
 	}
-	key := setKey{p, limit}
+	key := setKey{p, unpacks}
 	if set, ok := s.after[key]; ok && now.Before(set.expires) {
 		return set
 	}
 	if s.after == nil || len(s.after) >= maxShared {
 		s.after = map[setKey]*changeSet{}
 	}
+	limit := 0
+	if unpacks {
+		limit = maxRecords
+	}
 	started := time.Now()
 	defer func() { s.spent += time.Since(started) }()
 	set := &changeSet{changes: x.gossip.ChangesSince(now, p, s.upTo, limit), expires: now.Add(maxSharedAge)}
 	x.Counter.Add(counter.Sets, 1)
-	set.packed = x.pack(&wire.WatchResponse{
-		Records: set.changes.Records, Seen: set.changes.Seen, Whole: set.changes.Whole, Losses: set.changes.Losses,
-	})
+	if unpacks {
+		set.packed = x.pack(&wire.WatchResponse{
+			Records: set.changes.Records, Seen: set.changes.Seen, Whole: set.changes.Whole, Losses: set.changes.Losses,
+		})
+	}
 	s.after[key] = set
 	return set
 }
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -71,20 +71,19 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	position := gossiper.Position{Records: r.GetCounter(), Instances: r.GetCounter()}
-	limit := 0
 	if r.GetUnpacks() {
-		position.Instances, limit = r.GetObserved(), maxRecords
+		position.Instances = r.GetObserved()
 	}
 	hosted, loaded := r.GetHosted(), r.GetLoaded()
 	if r.GetRun() != x.gossip.Run {
 		position, hosted, loaded = gossiper.Position{}, 0, 0
 	}
-	set := x.changesAfter(now, position, limit)
+	set := x.changesAfter(now, position, r.GetUnpacks())
 	out := &wire.WatchResponse{
 		Run: x.gossip.Run, Counter: set.changes.Next.Records, Observed: set.changes.Next.Instances,
 		Partial: set.changes.Partial, Linked: hasQuorum, Revision: routing.Revision,
 	}
-	if set.packed != nil && r.GetUnpacks() {
+	if set.packed != nil {
 		out.Packed = append(out.Packed, set.packed)
 	} else {
 		changes := set.changes
@@ -105,11 +104,13 @@
 
 // addPlan adds a plan to a response, packed if it is large and the instance unpacks it. The caller holds the lock.
 func (x *Exchanger) addPlan(out *wire.WatchResponse, plan *wire.Plan, unpacks bool) {
-	if packed := x.packPlan(plan); packed != nil && unpacks {
-		out.Packed = append(out.Packed, packed)
+	out.Plan = plan
+	if !unpacks {
 		return
 	}
-	out.Plan = plan
+	if packed := x.packPlan(plan); packed != nil {
+		out.Plan, out.Packed = nil, append(out.Packed, packed)
+	}
 }
 
 // listControllers adds the controllers to a response, and those that are reachable in the region. The caller holds the
