--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -241,20 +241,20 @@
 			out = append(out, l)
 		}
 	}
-	work.Connections = func() counter.Connections { return sumConnections(listeners) }
+	work.Connections = func() counter.Connections { return sumConnections(listeners, bound) }
 	return out
 }
 
-// sumConnections returns the sums of the connections of some listeners.
-func sumConnections(listeners []*listener.Listener) counter.Connections {
+// sumConnections returns the sums of the connections of some listeners, which share a bound if it is not nil.
+func sumConnections(listeners []*listener.Listener, bound *listener.Bound) counter.Connections {
 	var out counter.Connections
+	if bound != nil {
+		out.Refused = bound.Refused()
+	}
 	for _, l := range listeners {
 		open, accepted := l.Connections()
 		out.Open += open
 		out.Accepted += accepted
-		if l.Bound != nil {
-			out.Refused = l.Bound.Refused() // all have the same bound
-		}
 	}
 	return out
 }
