Two tests of the change hold without what they guard; they are made to fail then

TestOrdinaryChangesArriveSoon passed with no notification at all, for the one about the quorum came in between: it waits for that one first. TestRequestsAreBounded took its bound from the constant: it also asks for more than two requests. TestAnswersHoldPartOfTheTargets is new, for the same reason.

--- a/controller/internal/exchanger/shared_test.go
+++ b/controller/internal/exchanger/shared_test.go
@@ -90,10 +90,41 @@
 	is.Equal(len(response.GetPacked()), 0)
 }
 
+// awaitQuorumNotified waits until watchers have been notified that this controller reaches a majority. That notification
+// would bring them every other change, too.
+func awaitQuorumNotified(t *testing.T, x *Exchanger) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		x.mu.Lock()
+		notified := x.hadQuorum
+		x.mu.Unlock()
+		if notified {
+			return
+		}
+		is.New(t).True(time.Now().Before(deadline))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against answers with thousands of records, which an overloaded controller or a full link does not bring to their
+// instance in time, so that it asks for them again.
+func TestAnswersHoldPartOfTheTargets(t *testing.T) {
+	is := is.New(t)
+	x := startExchanger(t, "c1")
+	announceMany(t, x, 0, 2000)
+	x.NotifyWatchers()
+	response, _ := x.buildResponse(time.Now(), &wire.WatchRequest{Unpacks: true})
+	is.NoErr(packer.Unpack(response))
+	is.True(response.GetPartial())
+	is.True(len(response.GetRecords()) < 1000)
+}
+
 // Guards against targets that wait for their first requests much longer than a change of the plan may take.
 func TestOrdinaryChangesArriveSoon(t *testing.T) {
 	is := is.New(t)
 	x := startExchanger(t, "c1")
+	awaitQuorumNotified(t, x)
 	first := watch(t, x, &wire.WatchRequest{Node: &wire.Node{Name: "e1"}, Unpacks: true})
 	started := time.Now()
 	announceMany(t, x, 0, 1)
--- a/core/gossiper/gossiper_test.go
+++ b/core/gossiper/gossiper_test.go
@@ -249,6 +249,7 @@
 		requests++
 	}
 	is.Equal(requests, targets/maxRecords+1)
+	is.True(requests > 2)
 	is.Equal(len(r.controllers[1].ChangesSince(r.now, Position{}, r.controllers[1].Counter(), 0).Records), targets)
 	is.Equal(r.controllers[0].digest, r.controllers[1].digest)
 	is.Equal(r.exchangeAll(Period), 0)
