Date the control state: when a controller last knew it to be the newest, and how old it is where it is used

A leader whose lease is valid names in its messages the newest round that the addressee has answered. A follower that holds what the message says is committed was the newest when it sent that answer. Nothing decides by it yet. Watch responses carry the age, and how long the call was held, so that an instance can date what it receives without comparing clocks.

New: metric chervilrail_controller_state_age_seconds; age and controller in "plan in force"; age and leader in "link to most controllers"; took, timeouts and age in "controller does not answer"; line "target leaves" with the controller that passed it on.

--- a/controller/internal/consenter/summary.go
+++ b/controller/internal/consenter/summary.go
@@ -16,12 +16,23 @@
 	Term            uint64
 	EntryInstances  int
 	At              time.Time
-	Limits          []*wire.LimitStatus
+	// Confirmed is the newest time for which the applied state is known to have been the newest of the group.
+	Confirmed time.Time
+	Limits    []*wire.LimitStatus
 }
 
 // Summary returns the newest summary, or nil before the first.
 func (c *Consenter) Summary() *Summary { return c.summary.Load() }
 
+// Confirmed returns the newest time for which the routing state is known to have been the newest of the group, or zero.
+// It holds for what Routing returns afterwards.
+func (c *Consenter) Confirmed() time.Time {
+	if s := c.Summary(); s != nil {
+		return s.Confirmed
+	}
+	return time.Time{}
+}
+
 func (c *Consenter) summarise(now time.Time) {
 	if last := c.summary.Load(); last != nil && now.Sub(last.At) < tickEvery {
 		return
@@ -35,6 +46,7 @@
 		Term:            c.replica.Term(),
 		EntryInstances:  c.roster.count(now),
 		At:              now,
+		Confirmed:       c.replica.ConfirmedAt(now),
 	}
 	if s.Leads {
 		s.Limits = c.limitStatus(now)
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -40,6 +40,9 @@
 // Consensus provides the replicated routing state.
 type Consensus interface {
 	Routing() *consenter.Routing
+	// Confirmed returns the newest time for which the routing state is known to have been the newest of the group, or
+	// zero. It holds for what Routing returns afterwards.
+	Confirmed() time.Time
 }
 
 // Exchanger is the service. Set the exported fields before Start.
@@ -168,7 +171,8 @@
 		return
 	}
 	x.hadQuorum = hasQuorum
-	_ = level.Warn(x.Logger).Log("msg", "link to most controllers", "linked", hasQuorum)
+	_ = level.Warn(x.Logger).Log("msg", "link to most controllers", "linked", hasQuorum,
+		"leader", x.Consensus.Routing().Leader, "age", formatAge(now, x.Consensus.Confirmed()))
 	x.notifyWatchers()
 }
 
@@ -330,10 +334,34 @@
 ) (*connect.Response[wire.ExchangeResponse], error) {
 	x.Counter.Add(counter.Received, 1)
 	var response *wire.ExchangeResponse
-	x.update(func(now time.Time) { response = x.gossip.HandleRequest(now, r.Msg) })
+	x.update(func(now time.Time) {
+		before := x.gossip.Counter()
+		response = x.gossip.HandleRequest(now, r.Msg)
+		x.logDepartures(r.Msg, before)
+	})
 	return connect.NewResponse(response), nil
 }
 
+// logDepartures logs the targets that are out of use according to a request and were in use here before it. The caller
+// holds the lock.
+func (x *Exchanger) logDepartures(r *wire.ExchangeRequest, before uint64) {
+	for _, record := range r.GetRecords() {
+		if record.GetState() == wire.TargetState_TARGET_READY || x.gossip.LastChange(record.GetName()) <= before {
+			continue
+		}
+		_ = level.Info(x.Logger).Log("msg", "target leaves", "target", record.GetName(), "incarnation",
+			record.GetIncarnation(), "state", record.GetState(), "from", r.GetFrom(), "records", len(r.GetRecords()))
+	}
+}
+
+// formatAge returns for logs how long ago a state was confirmed.
+func formatAge(now, confirmed time.Time) string {
+	if confirmed.IsZero() {
+		return "unconfirmed"
+	}
+	return now.Sub(confirmed).String()
+}
+
 // hasQuorum reports whether this controller has recently reached a majority of the voters.
 func (x *Exchanger) hasQuorum(now time.Time) bool {
 	voters := x.Consensus.Routing().Voters()
--- a/controller/internal/exchanger/exchanger_test.go
+++ b/controller/internal/exchanger/exchanger_test.go
@@ -31,6 +31,8 @@
 	return out
 }
 
+func (consensus) Confirmed() time.Time { return time.Time{} }
+
 func startExchanger(t *testing.T, voters ...string) *Exchanger {
 	t.Helper()
 	x := &Exchanger{
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -30,22 +30,25 @@
 			return connect.NewResponse(nearControllers), nil
 		}
 	}
+	received := time.Now()
 	timer := time.NewTimer(watchTimeout)
 	defer timer.Stop()
 	for {
 		x.mu.Lock()
 		changed := x.changed
 		x.mu.Unlock()
-		response, fresh := x.buildResponse(time.Now(), r.Msg)
+		now := time.Now()
+		response, fresh := x.buildResponse(now, r.Msg)
 		if fresh {
-			return x.answerWatch(response), nil
+			return x.answerWatch(response, now.Sub(received)), nil
 		}
 		select {
 		case <-changed:
 			time.Sleep(changesDelay)
 		case <-timer.C:
-			response, _ = x.buildResponse(time.Now(), r.Msg)
-			return x.answerWatch(response), nil
+			now := time.Now()
+			response, _ = x.buildResponse(now, r.Msg)
+			return x.answerWatch(response, now.Sub(received)), nil
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 		case <-x.ctx.Done():
@@ -54,7 +57,11 @@
 	}
 }
 
-func (x *Exchanger) answerWatch(response *wire.WatchResponse) *connect.Response[wire.WatchResponse] {
+// answerWatch returns a response that was built after the call had been held for a while.
+func (x *Exchanger) answerWatch(
+	response *wire.WatchResponse, held time.Duration,
+) *connect.Response[wire.WatchResponse] {
+	response.Held = int64(held)
 	x.Counter.Add(counter.Watches, 1)
 	x.Counter.Add(counter.WatchedRecords, len(response.GetRecords()))
 	for _, packed := range response.GetPacked() {
@@ -66,6 +73,7 @@
 // buildResponse builds the response for the current state, and reports whether to send it at once: there are changes
 // that the instance has not seen, or this controller has lost the majority.
 func (x *Exchanger) buildResponse(now time.Time, r *wire.WatchRequest) (*wire.WatchResponse, bool) {
+	confirmed := x.Consensus.Confirmed()
 	routing := x.Consensus.Routing()
 	hasQuorum := x.hasQuorum(now)
 	x.mu.Lock()
@@ -82,6 +90,10 @@
 	out := &wire.WatchResponse{
 		Run: x.gossip.Run, Counter: set.changes.Next.Records, Observed: set.changes.Next.Instances,
 		Partial: set.changes.Partial, Linked: hasQuorum, Revision: routing.Revision,
+		Confirmed: !confirmed.IsZero(),
+	}
+	if out.GetConfirmed() {
+		out.Age = int64(now.Sub(confirmed))
 	}
 	if set.packed != nil {
 		out.Packed = append(out.Packed, set.packed)
--- a/controller/internal/server/metrics.go
+++ b/controller/internal/server/metrics.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilrail.example/controller/internal/consenter"
@@ -23,6 +25,7 @@
 	claimsDesc          = newDesc("claims", "Claims remembered in the ledger.")
 	entriesDesc         = newDesc("entries", "Entry instances whose lease goes on.")
 	termDesc            = newDesc("term", "Current election term.")
+	stateAgeDesc        = newDesc("state_age_seconds", "Time since the applied state was known to be the newest.")
 	capDesc             = newDesc("limit_cap", "Cap of a shared limit.", "resource")
 	outstandingDesc     = newDesc("limit_outstanding", "Most that could be in force of a shared limit.", "resource")
 )
@@ -30,7 +33,7 @@
 // Describe implements prometheus.Collector.
 func (c *Collector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		leadsDesc, catalogueNumberDesc, commitIndexDesc, claimsDesc, entriesDesc, termDesc, capDesc, outstandingDesc,
+		leadsDesc, catalogueNumberDesc, commitIndexDesc, claimsDesc, entriesDesc, termDesc, stateAgeDesc, capDesc, outstandingDesc,
 	} {
 		ch <- d
 	}
@@ -55,6 +58,9 @@
 	gauge(claimsDesc, float64(s.Claims))
 	gauge(entriesDesc, float64(s.EntryInstances))
 	gauge(termDesc, float64(s.Term))
+	if !s.Confirmed.IsZero() {
+		gauge(stateAgeDesc, time.Since(s.Confirmed).Seconds())
+	}
 	for _, l := range s.Limits {
 		gauge(capDesc, float64(l.GetCap()), l.GetResource())
 		gauge(outstandingDesc, float64(l.GetOutstanding()), l.GetResource())
--- a/core/replicator/group_test.go
+++ b/core/replicator/group_test.go
@@ -64,11 +64,21 @@
 	// acked and pending hold the terms of acknowledged entries and of all proposed ones, by index.
 	acked   map[uint64]uint64
 	pending map[uint64]uint64
+	// acks lists the indices that were acknowledged above all earlier ones, with all clocks at that moment.
+	acks []ack
 	// blocked holds the pairs of replicas between which no message passes.
 	blocked map[[2]string]bool
 	// The naive flags each disable a safeguard whose absence a test has to detect.
 	naiveDisk bool
 	naiveVote bool
+	// naiveDate dates a follower's state by when the leader's message arrived.
+	naiveDate bool
+}
+
+// ack is an acknowledged index, and the time of each replica's clock at that moment, by the replica's position.
+type ack struct {
+	index  uint64
+	clocks []time.Time
 }
 
 var testTiming = Timing{
@@ -185,6 +195,7 @@
 		}
 	}
 	g.checkLeases()
+	g.checkConfirmed()
 }
 
 // processReady carries out a Ready; with crash, the replica crashes between saving and sending.
@@ -237,6 +248,42 @@
 	g.chosen[e.GetIndex()] = text
 	if term, ok := g.pending[e.GetIndex()]; ok && term == e.GetTerm() {
 		g.acked[e.GetIndex()] = term
+		g.recordAck(e.GetIndex())
+	}
+}
+
+func (g *group) recordAck(index uint64) {
+	if len(g.acks) > 0 && g.acks[len(g.acks)-1].index >= index {
+		return
+	}
+	a := ack{index: index}
+	for _, n := range g.replicas {
+		a.clocks = append(a.clocks, n.clock)
+	}
+	g.acks = append(g.acks, a)
+}
+
+// checkConfirmed fails when a replica lacks an entry that was acknowledged before the time for which its state is said
+// to have been the newest.
+func (g *group) checkConfirmed() {
+	for i, n := range g.replicas {
+		if !n.up {
+			continue
+		}
+		at := n.ConfirmedAt(n.clock)
+		if g.naiveDate && n.Role() == Follower && n.leader != nil {
+			at = n.noVoteUntil.Add(-testTiming.Election)
+		}
+		for k := len(g.acks) - 1; k >= 0; k-- {
+			if !g.acks[k].clocks[i].Before(at) {
+				continue
+			}
+			if g.acks[k].index > n.Committed() {
+				g.t.Fatalf("%s holds up to %d and calls this the newest, after %d was acknowledged",
+					n.disk.self.GetName(), n.Committed(), g.acks[k].index)
+			}
+			break
+		}
 	}
 }
 
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -94,7 +94,8 @@
 	// rounds holds when each recent heartbeat round was sent.
 	rounds map[uint64]time.Time
 	// termStart is the index of the first entry of this leader's term.
-	termStart uint64
+	termStart    uint64
+	confirmation confirmation
 
 	// voteUnsaved is set when the vote record has to be saved with the next Ready.
 	voteUnsaved bool
@@ -113,6 +114,8 @@
 	probing  bool
 	// confirmed is the send time of the latest round that the replica answered.
 	confirmed time.Time
+	// answered is the latest round that the replica answered.
+	answered uint64
 	// since is when this leader began to send to the replica.
 	since    time.Time
 	resendAt time.Time
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -64,13 +64,14 @@
 		entries = r.log.slice(p.next, end)
 	}
 	r.send(p.member, &wire.Message{
-		Kind:    wire.MessageKind_MESSAGE_APPEND,
-		Term:    r.term,
-		Index:   previous,
-		Logterm: r.log.term(previous),
-		Entries: entries,
-		Commit:  r.commit,
-		Round:   r.round,
+		Kind:     wire.MessageKind_MESSAGE_APPEND,
+		Term:     r.term,
+		Index:    previous,
+		Logterm:  r.log.term(previous),
+		Entries:  entries,
+		Commit:   r.commit,
+		Round:    r.round,
+		Answered: r.answeredBy(now, p),
 	})
 	if len(entries) == 0 {
 		return
@@ -123,6 +124,7 @@
 	}
 	r.becomeFollower(now, m.GetTerm(), m.GetFrom())
 	r.noVoteUntil = now.Add(r.Timing.Election)
+	r.confirmation.note(now, m)
 	return true
 }
 
@@ -175,6 +177,7 @@
 	if commit := min(m.GetCommit(), matched); commit > r.commit {
 		r.commit = commit
 	}
+	r.confirm(m)
 	r.reply(m, &wire.Message{Index: matched})
 }
 
@@ -204,6 +207,7 @@
 	sent, ok := r.rounds[round]
 	if ok && sent.After(p.confirmed) {
 		p.confirmed = sent
+		p.answered = round
 	}
 }
 
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -30,9 +30,13 @@
 	Peers []locator.Peer
 }
 
-// apply puts a controller's response into force and publishes a new view if anything relevant changed.
-func (w *Watcher) apply(now time.Time, r *wire.WatchResponse) {
+// apply puts a controller's response to a call sent at a given time into force, and publishes a new view if anything
+// relevant changed.
+func (w *Watcher) apply(sent, now time.Time, r *wire.WatchResponse) {
 	s := &w.state
+	if at := confirmedAt(sent, r); r.GetRevision() >= s.revision && at.After(s.confirmed) {
+		s.confirmed = at
+	}
 	s.position = position{run: r.GetRun(), counter: r.GetCounter(), hosted: r.GetHosted()}
 	s.observed, s.loaded = cmp.Or(r.GetObserved(), r.GetCounter()), r.GetLoaded()
 	w.applyControllers(r)
@@ -119,7 +123,8 @@
 	if r.GetPlan() != nil && (s.plan == nil || r.GetPlan().GetVersion() > s.plan.Plan.GetVersion()) {
 		s.plan = planner.NewTable(r.GetPlan())
 		_ = level.Info(w.Logger).Log("msg", "plan in force", "version", r.GetPlan().GetVersion(),
-			"revision", s.revision, "routes", len(r.GetPlan().GetRoutes()))
+			"revision", s.revision, "routes", len(r.GetPlan().GetRoutes()), "controller", s.controller,
+			"age", formatAge(now, s.confirmed))
 	}
 	if !slices.Equal(s.evacuated, r.GetEvacuated()) {
 		w.markReturnedCold(now, r.GetEvacuated())
@@ -130,6 +135,24 @@
 	return true
 }
 
+// confirmedAt returns a time for which the state in the response to a call sent at a given time is known to have been
+// the newest, or zero. The response may have been on its way for as long as the call took, so the time counts from when
+// the call was sent.
+func confirmedAt(sent time.Time, r *wire.WatchResponse) time.Time {
+	if !r.GetConfirmed() {
+		return time.Time{}
+	}
+	return sent.Add(time.Duration(r.GetHeld() - r.GetAge()))
+}
+
+// formatAge returns for logs how long ago a state was confirmed.
+func formatAge(now, confirmed time.Time) string {
+	if confirmed.IsZero() {
+		return "unconfirmed"
+	}
+	return now.Sub(confirmed).String()
+}
+
 // markReturnedCold marks the targets of a zone as cold when its evacuation ends: their caches had no traffic, and the
 // full load at once would crash them.
 func (w *Watcher) markReturnedCold(now time.Time, evacuated []string) {
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -103,7 +103,10 @@
 	instances map[string]*wire.Node
 	// unpublished is set while the state contains changes that no view shows.
 	unpublished bool
-	failing     bool
+	// confirmed is the newest time for which the plan and the evacuations held here are known to have been the newest of
+	// all, or zero.
+	confirmed time.Time
+	failing   bool
 	// retryPause is the pause after the next failure, timeouts how many calls in a row have run out of time.
 	retryPause time.Duration
 	timeouts   int
@@ -220,6 +223,7 @@
 	ctx, cancel := context.WithTimeout(w.ctx, callTimeout<<min(s.timeouts/callsPerTimeout, maxDoublings))
 	defer cancel()
 	client := wireconnect.NewExchangeClient(w.client, w.Dialer.URL(s.controller))
+	sent := time.Now()
 	response, err := client.Watch(ctx, connect.NewRequest(w.request()))
 	if err == nil {
 		err = packer.Unpack(response.Msg)
@@ -228,19 +232,19 @@
 		if ctx.Err() != nil {
 			s.timeouts++
 		}
-		return w.handleError(err)
+		return w.handleError(sent, err)
 	}
 	s.polled, s.timeouts = true, 0
 	if s.failing {
 		s.failing = false
-		_ = level.Info(w.Logger).Log("msg", "controller answers", "controller", s.controller)
+		_ = level.Info(w.Logger).Log("msg", "controller answers", "controller", s.controller, "took", time.Since(sent))
 	}
 	if response.Msg.GetRun() == 0 {
 		w.applyControllers(response.Msg)
 		w.preferNear()
 		return true
 	}
-	w.apply(time.Now(), response.Msg)
+	w.apply(sent, time.Now(), response.Msg)
 	if response.Msg.GetLinked() {
 		s.retryPause = 0
 		w.preferNear()
@@ -290,13 +294,14 @@
 }
 
 // handleError fails over to another controller, unless the call failed because the watcher stops. It returns false.
-func (w *Watcher) handleError(err error) bool {
+func (w *Watcher) handleError(sent time.Time, err error) bool {
 	if w.ctx.Err() != nil {
 		return false
 	}
 	if !w.state.failing {
 		w.state.failing = true
-		_ = level.Warn(w.Logger).Log("msg", "controller does not answer", "controller", w.state.controller, "err", err)
+		_ = level.Warn(w.Logger).Log("msg", "controller does not answer", "controller", w.state.controller,
+			"took", time.Since(sent), "timeouts", w.state.timeouts, "age", formatAge(time.Now(), w.state.confirmed), "err", err)
 	}
 	w.failOver()
 	return false
