--- a/core/gossiper/gossiper_test.go
+++ b/core/gossiper/gossiper_test.go
@@ -82,6 +82,45 @@
 	is.Equal(r.state(4, "t1"), leaving)
 }
 
+// Guards against a leave that is acknowledged although the others never received it: the target announces it to one
+// controller, gets no answer as that one is cut off, and repeats it at another that has received it in between. Requests
+// reach the target from all instances whose controllers do not know.
+func TestRepeatedLeaveIsAcknowledgedByThoseThatHoldIt(t *testing.T) {
+	is := is.New(t)
+	r := newCluster(5)
+	r.controllers[0].Announce(r.now, record("t1", 1, 1, ready))
+	r.exchangeAll(Period)
+	r.disconnected["c2"], r.disconnected["c3"], r.disconnected["c4"] = true, true, true
+	r.controllers[0].Announce(r.now, record("t1", 1, 2, leaving))
+	r.exchangeAll(Period)
+	is.Equal(r.state(1, "t1"), leaving)
+	r.disconnected = map[string]bool{"c0": true}
+	counter := r.controllers[1].Announce(r.now, record("t1", 1, 2, leaving))
+	r.exchangeAll(Period)
+	for i := 2; i < 5; i++ {
+		is.True(r.controllers[1].HasAcknowledged(r.controllers[i].Self, counter))
+		is.Equal(r.state(i, "t1"), leaving)
+	}
+}
+
+// Guards against a leave that some controllers learn of seconds after its acknowledgement: the controller that received
+// it has passed it on to a majority and dies. Their instances go on sending requests to the target until the others
+// notice that their records differ.
+func TestLeaveIsPassedOnByAllThatReceiveIt(t *testing.T) {
+	is := is.New(t)
+	r := newCluster(5)
+	r.controllers[0].Announce(r.now, record("t1", 1, 1, ready))
+	r.exchangeAll(Period)
+	r.disconnected["c3"], r.disconnected["c4"] = true, true
+	counter := r.controllers[0].Announce(r.now, record("t1", 1, 2, leaving))
+	r.exchangeAll(Period)
+	is.True(r.controllers[0].HasAcknowledged("c1", counter) && r.controllers[0].HasAcknowledged("c2", counter))
+	r.disconnected = map[string]bool{"c0": true}
+	r.exchangeAll(Period)
+	is.Equal(r.state(3, "t1"), leaving)
+	is.Equal(r.state(4, "t1"), leaving)
+}
+
 // Hundreds of targets announce themselves every second. Forwarding each announcement would overload the small
 // controllers, so only changes are sent, and only by the controller that received them.
 func TestUnchangedAnnouncementsAreNotForwarded(t *testing.T) {
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -115,7 +115,7 @@
 
 func answer(revision, version uint64, linked bool, records ...*wire.Record) *wire.WatchResponse {
 	return &wire.WatchResponse{
-		Run: 1, Counter: revision, Linked: linked, Revision: revision, Records: records,
+		Run: 1, Counter: revision, Linked: linked, Confirmed: linked, Revision: revision, Records: records,
 		Plan: &wire.Plan{Version: version, Services: []*wire.Service{{Name: "listings"}}},
 	}
 }
