A repeated leave is acknowledged only by controllers that hold it

What callers saw: requests reach a target after its leave was acknowledged (DRAIN).

Cause: a controller sends the others only the records of targets that announce themselves to it, and waits for a majority to acknowledge its change counter. A target whose first controller received the leave, passed it on to one other and was cut off or died, repeats it at that other one. There the record is known, so it was not sent, but the counter of its arrival is below what the rest acknowledge with the next exchange: acknowledged by controllers that hold the target as ready. They learn of it when digests have differed for 0.7 s and more, or, while earlier repairs were in vain, up to 5.6 s later.

Why it works: the repeated leave is sent from here, and its acknowledgement is that of the counter at which it is sent. Class: an acknowledgement of a position stands for contents that were never sent. Looked for elsewhere: hosts and loads are hints; losses are sent whenever their counter counts; changes and evacuations go through the replicated log.

--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -29,7 +29,7 @@
 	changed := g.outgoing.part(p.acked, g.counter, maxRecords, g.lastOutgoing)
 	out.Counter, out.Partial = changed.reached, changed.left
 	for _, name := range changed.names {
-		if g.statuses[name].direct {
+		if g.sends(now, g.statuses[name]) {
 			out.Records = g.appendRecord(out.Records, now, name)
 		}
 	}
@@ -87,7 +87,7 @@
 	m.direct = false
 	m.coldEnd = now.Add(time.Duration(record.GetCold()))
 	if !known || differ(old, record) {
-		g.recordChange(record.GetName())
+		g.recordChange(now, record.GetName())
 	}
 }
 
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -1,8 +1,8 @@
 // Package gossiper replicates what the controllers know of targets and entry instances to all controllers, in memory.
 // It is a state machine; its caller holds one lock around all calls.
 //
-// A controller sends the others only the changes of targets that announce themselves to it directly. It sends all its
-// records, in parts, only when a digest shows that it has differed from another controller for longer than a change takes to
+// A controller sends the others only the changes of targets that announce themselves to it directly, and the leaves that
+// were repeated to it. It sends all its records, in parts, only when a digest shows that it has differed from another controller for longer than a change takes to
 // arrive. While nothing changes, an exchange therefore costs a few bytes per period and controller, whatever the number
 // of targets.
 package gossiper
@@ -33,6 +33,9 @@
 	// silentAfter is how long a target may go without an announcement: three announcement intervals and the time by
 	// which one may be late.
 	silentAfter = 6 * time.Second
+	// relayTime is how long a controller passes on that a target leaves: the time in which another one may be cut off from
+	// the controller that received it. Later, digests show what is missing.
+	relayTime = 10 * time.Second
 	// lossRetention and maxLosses bound the reports kept of requests that were in flight when a target died.
 	lossRetention = 2 * time.Minute
 	maxLosses     = 512
@@ -68,7 +71,9 @@
 	// outgoing is the counter at which the record last had to be sent to the other controllers.
 	outgoing uint64
 	// direct is set while the target announces itself to this controller.
-	direct      bool
+	direct bool
+	// relayUntil is until when the record is passed on although the target announces itself elsewhere.
+	relayUntil  time.Time
 	announcedAt time.Time
 	coldEnd     time.Time
 	digest      uint64
@@ -128,7 +133,7 @@
 	g.init()
 	old, known := g.targets.Get(r.GetName())
 	if !g.targets.Merge(now, r) {
-		return g.LastChange(r.GetName())
+		return g.passOn(now, r.GetName())
 	}
 	m := g.status(r.GetName())
 	moved := !m.direct
@@ -137,7 +142,7 @@
 	m.coldEnd = now.Add(time.Duration(r.GetCold()))
 	switch {
 	case !known || differ(old, r):
-		g.recordChange(r.GetName())
+		g.recordChange(now, r.GetName())
 	case moved:
 		// Only the other controllers need this: the one that the target has left must not mark it as silent.
 		g.counter++
@@ -146,6 +151,27 @@
 	return max(m.changed, m.outgoing)
 }
 
+// passOn returns the change counter that the other controllers have to acknowledge before they hold a target's record,
+// which an announcement has repeated. Another controller may have received the first announcement, passed it on only to
+// this one, and died: what is not sent from here, nobody acknowledges.
+func (g *Gossiper) passOn(now time.Time, name string) uint64 {
+	m, known := g.statuses[name]
+	if !known {
+		return 0
+	}
+	if !g.sends(now, m) && g.hasLeft(name) {
+		m.relayUntil = now.Add(relayTime)
+		g.counter++
+		g.recordOutgoing(name, m)
+	}
+	return max(m.changed, m.outgoing)
+}
+
+// sends reports whether this controller sends a target's record to the others.
+func (g *Gossiper) sends(now time.Time, m *targetStatus) bool {
+	return m.direct || now.Before(m.relayUntil)
+}
+
 // Announces reports whether a target announces itself to this controller directly.
 func (g *Gossiper) Announces(name string) bool {
 	return g.statuses[name] != nil && g.statuses[name].direct
@@ -194,13 +220,13 @@
 	return xxhash.Sum64(data)
 }
 
-func (g *Gossiper) recordChange(name string) {
+func (g *Gossiper) recordChange(now time.Time, name string) {
 	g.counter++
 	m := g.status(name)
 	m.changed = g.counter
 	g.changeLog.add(g.counter, name, g.LastChange)
 	g.marks.Watched = g.counter
-	if m.direct {
+	if g.sends(now, m) {
 		g.recordOutgoing(name, m)
 	}
 	if g.hasLeft(name) {
@@ -268,7 +294,7 @@
 		silent := proto.CloneOf(record)
 		silent.Silent = true
 		if g.targets.Merge(now, silent) {
-			g.recordChange(name)
+			g.recordChange(now, name)
 		}
 	}
 }
