Controllers pass on every leave that they receive

What callers saw: requests reach a target seconds after its leave was acknowledged (DRAIN).

Cause: only the controller that received a leave sent it on. If it died once a majority had acknowledged it, the rest learned of it from a repair, which begins when digests have differed for 0.7 s and ends 1.5 s and more after the death; the bound for their instances is 2.5 s. Why it works: whoever receives a leave sends it to all, for 10 s, so that one living controller that holds it is enough. What is passed on shares exchanges (100 ms apart); only the receiver's own is sent at once, as before: five controllers would otherwise make twenty exchanges for each leave. Class: a binding decision that depends on one process after its acknowledgement.

--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -184,14 +184,13 @@
 	change(time.Now())
 	x.scheduleHostsNotification()
 	after := x.gossip.Marks()
-	urgent := after.Urgent > before.Urgent
-	if urgent {
+	if after.Urgent > before.Urgent {
 		x.notifyWatchers()
 	} else if after.Watched > before.Watched {
 		x.scheduleOrdinaryNotification()
 	}
 	if after.Outgoing > before.Outgoing {
-		x.triggerExchanges(urgent)
+		x.triggerExchanges(after.UrgentOutgoing > before.UrgentOutgoing)
 	}
 }
 
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -85,6 +85,10 @@
 	}
 	m := g.status(record.GetName())
 	m.direct = false
+	if g.hasLeft(record.GetName()) {
+		// The controller that received the leave may have acknowledged it and died before it told all others.
+		m.relayUntil = now.Add(relayTime)
+	}
 	m.coldEnd = now.Add(time.Duration(record.GetCold()))
 	if !known || differ(old, record) {
 		g.recordChange(now, record.GetName())
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -1,10 +1,10 @@
 // Package gossiper replicates what the controllers know of targets and entry instances to all controllers, in memory.
 // It is a state machine; its caller holds one lock around all calls.
 //
-// A controller sends the others only the changes of targets that announce themselves to it directly, and the leaves that
-// were repeated to it. It sends all its records, in parts, only when a digest shows that it has differed from another controller for longer than a change takes to
-// arrive. While nothing changes, an exchange therefore costs a few bytes per period and controller, whatever the number
-// of targets.
+// A controller sends the others the changes of targets that announce themselves to it directly, and every leave that it
+// receives. It sends all its records, in parts, only when a digest shows that it has differed from another controller
+// for longer than a change takes to arrive. While nothing changes, an exchange therefore costs a few bytes per period and
+// controller, whatever the number of targets.
 package gossiper
 
 import (
@@ -107,8 +107,10 @@
 	// something out of use.
 	Watched uint64
 	Urgent  uint64
-	// Outgoing is that of the last change that this controller has to send to the others.
-	Outgoing uint64
+	// Outgoing is that of the last change that this controller has to send to the others, UrgentOutgoing that of the last
+	// among them that is binding once they have acknowledged it.
+	Outgoing       uint64
+	UrgentOutgoing uint64
 }
 
 // Marks returns the present marks.
@@ -163,6 +165,7 @@
 		m.relayUntil = now.Add(relayTime)
 		g.counter++
 		g.recordOutgoing(name, m)
+		g.marks.UrgentOutgoing = g.counter
 	}
 	return max(m.changed, m.outgoing)
 }
@@ -235,6 +238,9 @@
 	record, _ := g.targets.Get(name)
 	if record.GetState() != wire.TargetState_TARGET_READY || record.GetSilent() {
 		g.marks.Urgent = g.counter
+		if m.direct {
+			g.marks.UrgentOutgoing = g.counter
+		}
 	}
 	sum := digestOf(record)
 	g.digest ^= m.digest ^ sum
@@ -257,7 +263,7 @@
 		g.counter++
 		g.marks.Watched, g.marks.Urgent = g.counter, g.counter
 		if direct {
-			g.marks.Outgoing = g.counter
+			g.marks.Outgoing, g.marks.UrgentOutgoing = g.counter, g.counter
 		}
 		g.losses = append(g.losses, &loss{r, g.counter, direct, now.Add(lossRetention)})
 	}
--- a/core/gossiper/nodes.go
+++ b/core/gossiper/nodes.go
@@ -152,6 +152,9 @@
 	if direct {
 		g.marks.Outgoing = counter
 	}
+	if urgent && direct {
+		g.marks.UrgentOutgoing = counter
+	}
 }
 
 // Instances returns the entry instances observed by any controller within instanceTimeout, sorted by name.
