An entry instance starts to work only by a plan that is known to be recent

Cause: an instance without a plan took it from any controller that reaches most others. Reaching them says nothing about what they have accepted: after a restart of all, controllers reach each other about 1.5 s before they elect a leader, and until then know only what their disks say was committed, which misses the last changes. Nor did anything bound the age of an answer: one that was built before an election and delivered seconds later on a full link counted as the first plan.

Change: the first plan is used once it is known to have been the newest at most 2.5 s ago, the time within which a change has to be in force, counted from when the call was sent. Controllers answer such an instance as soon as they know that they are current. A new leader tells its followers at once that it has committed, so that they know it a round trip later.

The test took its start of the log before the kill, so that a first plan of before the kill could count; it is taken after it now, which is stricter. Old controllers do not date their answers: they have to be replaced before the entry instances are.

--- a/controller/internal/consenter/summary.go
+++ b/controller/internal/consenter/summary.go
@@ -46,7 +46,7 @@
 		Term:            c.replica.Term(),
 		EntryInstances:  c.roster.count(now),
 		At:              now,
-		Confirmed:       c.replica.ConfirmedAt(now),
+		Confirmed:       c.replica.ConfirmedAt(),
 	}
 	if s.Leads {
 		s.Limits = c.limitStatus(now)
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -65,8 +65,9 @@
 	// acknowledged is closed and replaced when another controller has acknowledged changes.
 	acknowledged chan struct{}
 	peers        map[string]*peer
-	// hadQuorum is the result of hasQuorum that watchers were last notified of.
-	hadQuorum bool
+	// hadQuorum is the result of hasQuorum that watchers were last notified of, wasCurrent that of isCurrent.
+	hadQuorum  bool
+	wasCurrent bool
 	// notifiedHosts is the gossip state's counter of host changes at the last notification about hosts. hostsPending is
 	// set while another one is scheduled.
 	notifiedHosts uint64
@@ -160,19 +161,19 @@
 	}
 }
 
-// checkQuorum notifies watchers when this controller loses or regains contact with a majority of the voters. After a
-// loss they switch to another controller at once: this one misses decisions that are binding for them too, such as that
-// a target leaves.
+// checkQuorum notifies watchers when this controller loses or regains contact with a majority of the voters, and when
+// its state becomes current, for which instances wait that start. After a loss they switch to another controller at
+// once: this one misses decisions that are binding for them too, such as that a target leaves.
 func (x *Exchanger) checkQuorum(now time.Time) {
-	hasQuorum := x.hasQuorum(now)
+	hasQuorum, current := x.hasQuorum(now), isCurrent(now, x.Consensus.Confirmed())
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if hasQuorum == x.hadQuorum {
+	if hasQuorum == x.hadQuorum && current == x.wasCurrent {
 		return
 	}
-	x.hadQuorum = hasQuorum
+	x.hadQuorum, x.wasCurrent = hasQuorum, current
 	_ = level.Warn(x.Logger).Log("msg", "link to most controllers", "linked", hasQuorum,
-		"leader", x.Consensus.Routing().Leader, "age", formatAge(now, x.Consensus.Confirmed()))
+		"current", current, "leader", x.Consensus.Routing().Leader, "age", formatAge(now, x.Consensus.Confirmed()))
 	x.notifyWatchers()
 }
 
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -71,7 +71,8 @@
 }
 
 // buildResponse builds the response for the current state, and reports whether to send it at once: there are changes
-// that the instance has not seen, or this controller has lost the majority.
+// that the instance has not seen, it waits for a confirmation of its first plan, or this controller has lost the
+// majority.
 func (x *Exchanger) buildResponse(now time.Time, r *wire.WatchRequest) (*wire.WatchResponse, bool) {
 	confirmed := x.Consensus.Confirmed()
 	routing := x.Consensus.Routing()
@@ -110,10 +111,18 @@
 			x.addPlan(out, routing.PlanWithoutKeys, r.GetUnpacks())
 		}
 	}
-	fresh := routing.Revision > r.GetRevision() || !set.changes.Empty() || len(out.Hosts) > 0
+	fresh := routing.Revision > r.GetRevision() || !set.changes.Empty() || len(out.Hosts) > 0 ||
+		r.GetNode().GetStarting() && isCurrent(now, confirmed)
 	return out, fresh || !hasQuorum && r.GetRun() == x.gossip.Run
 }
 
+// currentAge is up to which age a controller's state counts as current: several heartbeats of the leader and a round
+// trip.
+const currentAge = time.Second
+
+// isCurrent reports whether a state that was confirmed at a given time counts as current.
+func isCurrent(now, confirmed time.Time) bool { return now.Sub(confirmed) <= currentAge }
+
 // addPlan adds a plan to a response, packed if it is large and the instance unpacks it. The caller holds the lock.
 func (x *Exchanger) addPlan(out *wire.WatchResponse, plan *wire.Plan, unpacks bool) {
 	out.Plan = plan
--- a/core/replicator/confirmation.go
+++ b/core/replicator/confirmation.go
@@ -22,12 +22,7 @@
 
 // ConfirmedAt returns the newest time for which this replica's committed state is known to have been the newest of the
 // whole group, or zero. The state up to Committed must be applied before it is used with this time.
-func (r *Replica) ConfirmedAt(now time.Time) time.Time {
-	if r.role == Leader && r.LeaseDeadline(now).After(now) {
-		return now
-	}
-	return r.confirmation.at
-}
+func (r *Replica) ConfirmedAt() time.Time { return r.confirmation.at }
 
 // note records that a message of the leader is about to be answered, whether it is accepted or rejected.
 func (c *confirmation) note(now time.Time, m *wire.Message) {
--- a/core/replicator/confirmation_test.go
+++ b/core/replicator/confirmation_test.go
@@ -34,13 +34,13 @@
 		}
 	}
 	g.runFor(time.Second)
-	is.True(cut.clock.Sub(cut.ConfirmedAt(cut.clock)) < 2*testTiming.Heartbeat)
+	is.True(cut.clock.Sub(cut.ConfirmedAt()) < 2*testTiming.Heartbeat)
 	g.block(l, cut, true)
 	g.runFor(time.Second)
-	is.True(cut.clock.Sub(cut.ConfirmedAt(cut.clock)) >= 900*time.Millisecond)
+	is.True(cut.clock.Sub(cut.ConfirmedAt()) >= 900*time.Millisecond)
 	g.block(l, cut, false)
 	g.runFor(time.Second)
-	is.True(cut.clock.Sub(cut.ConfirmedAt(cut.clock)) < 2*testTiming.Heartbeat)
+	is.True(cut.clock.Sub(cut.ConfirmedAt()) < 2*testTiming.Heartbeat)
 }
 
 // Guards against a group that calls its state the newest before it has elected a leader after the restart of all.
@@ -54,12 +54,12 @@
 	for range 20 {
 		g.runFor(5 * time.Millisecond)
 		for _, n := range g.replicas {
-			is.True(g.leader() != nil || n.ConfirmedAt(n.clock).IsZero())
+			is.True(g.leader() != nil || n.ConfirmedAt().IsZero())
 		}
 	}
 	g.converge()
 	g.runFor(100 * time.Millisecond)
 	for _, n := range g.replicas {
-		is.True(!n.ConfirmedAt(n.clock).IsZero())
+		is.True(!n.ConfirmedAt().IsZero())
 	}
 }
--- a/core/replicator/group_test.go
+++ b/core/replicator/group_test.go
@@ -270,7 +270,7 @@
 		if !n.up {
 			continue
 		}
-		at := n.ConfirmedAt(n.clock)
+		at := n.ConfirmedAt()
 		if g.naiveDate && n.Role() == Follower && n.leader != nil {
 			at = n.noVoteUntil.Add(-testTiming.Election)
 		}
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -241,6 +241,9 @@
 }
 
 func (r *Replica) tickLeader(now time.Time) {
+	if r.LeaseDeadline(now).After(now) {
+		r.confirmation.at = now
+	}
 	if now.Before(r.heartbeatAt) {
 		return
 	}
@@ -340,6 +343,10 @@
 	// Only an entry of the leader's own term is committed by counting replicas; an older one could still be
 	// overwritten.
 	if index > r.commit && r.log.term(index) == r.term {
+		if r.commit < r.termStart {
+			// The next tick tells the followers, which can't confirm what they hold before.
+			r.heartbeatAt = time.Time{}
+		}
 		r.commit = index
 	}
 }
--- a/entry/internal/watcher/confirmation_test.go
+++ b/entry/internal/watcher/confirmation_test.go
@@ -103,3 +103,19 @@
 	}
 	is.True(time.Since(started) < changeBound)
 }
+
+// Guards against an instance that never starts: the plan that nobody confirmed came from a controller that recovered
+// from a snapshot, whose revision is above those of all others, and that controller is gone.
+func TestConfirmedPlanReplacesOneOfAHigherRevision(t *testing.T) {
+	is := is.New(t)
+	unconfirmed := answer(9, 3, true)
+	unconfirmed.Confirmed = false
+	w := stoppedWatcher()
+	now := time.Now()
+	w.apply(now, now, unconfirmed)
+	is.Equal(w.request().GetRevision(), uint64(9))
+	w.apply(now, now, answer(5, 4, true))
+	is.Equal(w.request().GetRevision(), uint64(0))
+	w.apply(now, now, answer(5, 4, true))
+	is.Equal(version(w), uint64(4))
+}
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -34,13 +34,10 @@
 // relevant changed.
 func (w *Watcher) apply(sent, now time.Time, r *wire.WatchResponse) {
 	s := &w.state
-	if at := confirmedAt(sent, r); r.GetRevision() >= s.revision && at.After(s.confirmed) {
-		s.confirmed = at
-	}
 	s.position = position{run: r.GetRun(), counter: r.GetCounter(), hosted: r.GetHosted()}
 	s.observed, s.loaded = cmp.Or(r.GetObserved(), r.GetCounter()), r.GetLoaded()
 	w.applyControllers(r)
-	stale := w.applyRouting(now, r)
+	stale := w.applyRouting(sent, now, r)
 	stale = w.applyRecords(now, r.GetRecords()) || stale
 	stale = w.applyInstances(r) || stale
 	stale = w.expireCold(now) || stale
@@ -56,7 +53,7 @@
 	s.unpublished = s.unpublished || stale
 	// Objects placed by the first part of the targets would move again with the next.
 	incomplete := r.GetPartial() && w.View() == nil
-	if s.unpublished && s.plan != nil && !incomplete {
+	if s.unpublished && s.established && !incomplete {
 		s.unpublished = false
 		w.publish(now)
 	}
@@ -111,20 +108,50 @@
 	return r.GetWhole() || len(r.GetSeen()) > 0
 }
 
-// applyRouting accepts the plan and evacuations if their revision is newer. A controller that lags, or that was
-// restored from an old disk, must not make an accepted change revert here; and an instance without a plan accepts none
-// from a controller that can't reach most of the voters, because that plan may be outdated.
-func (w *Watcher) applyRouting(now time.Time, r *wire.WatchResponse) bool {
+// applyRouting accepts the plan and evacuations if their revision is newer, and reports whether what is in force has
+// changed. A controller that lags, or that was restored from an old disk, must not make an accepted change revert here.
+func (w *Watcher) applyRouting(sent, now time.Time, r *wire.WatchResponse) bool {
+	s := &w.state
+	newer := r.GetRevision() > s.revision
+	if newer {
+		w.applyRevision(now, r)
+	}
+	if at := confirmedAt(sent, r); r.GetRevision() >= s.revision && at.After(s.confirmed) {
+		s.confirmed = at
+	}
+	if s.established {
+		return newer
+	}
+	return w.establish(sent, now, r)
+}
+
+// establish puts the first plan into force once it is known to be no older than a change may take, and reports whether
+// it did. The controller that sent the plan may have recovered it from its disk and not know yet what was accepted last,
+// or its response may have been on its way for long.
+func (w *Watcher) establish(sent, now time.Time, r *wire.WatchResponse) bool {
 	s := &w.state
-	if r.GetRevision() <= s.revision || s.plan == nil && !r.GetLinked() {
+	if at := confirmedAt(sent, r); r.GetRevision() < s.revision && now.Sub(at) <= changeTimeout {
+		// Controllers that recovered from snapshots number the same state differently. Nothing was served by the plan that
+		// was never confirmed, so the confirmed one is requested in its place.
+		s.revision, s.plan = 0, nil
+	}
+	if s.plan == nil || now.Sub(s.confirmed) > changeTimeout {
 		return false
 	}
+	s.established = true
+	w.logPlan(now)
+	return true
+}
+
+// applyRevision stores the plan and evacuations of a response.
+func (w *Watcher) applyRevision(now time.Time, r *wire.WatchResponse) {
+	s := &w.state
 	s.revision = r.GetRevision()
 	if r.GetPlan() != nil && (s.plan == nil || r.GetPlan().GetVersion() > s.plan.Plan.GetVersion()) {
 		s.plan = planner.NewTable(r.GetPlan())
-		_ = level.Info(w.Logger).Log("msg", "plan in force", "version", r.GetPlan().GetVersion(),
-			"revision", s.revision, "routes", len(r.GetPlan().GetRoutes()), "controller", s.controller,
-			"age", formatAge(now, s.confirmed))
+		if s.established {
+			w.logPlan(now)
+		}
 	}
 	if !slices.Equal(s.evacuated, r.GetEvacuated()) {
 		w.markReturnedCold(now, r.GetEvacuated())
@@ -132,7 +159,12 @@
 		_ = level.Info(w.Logger).Log("msg", "evacuated zones", "zones", strings.Join(s.evacuated, ","),
 			"revision", s.revision)
 	}
-	return true
+}
+
+func (w *Watcher) logPlan(now time.Time) {
+	s := &w.state
+	_ = level.Info(w.Logger).Log("msg", "plan in force", "version", s.plan.Plan.GetVersion(), "revision", s.revision,
+		"routes", len(s.plan.Plan.GetRoutes()), "controller", s.controller, "age", formatAge(now, s.confirmed))
 }
 
 // confirmedAt returns a time for which the state in the response to a call sent at a given time is known to have been
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -27,6 +27,8 @@
 )
 
 const (
+	// changeTimeout is the time within which an accepted change has to be in force at all instances.
+	changeTimeout = 2500 * time.Millisecond
 	// callTimeout covers the second for which a controller holds a call without changes, and a round trip with one lost
 	// packet. A change has to be in force within 2.5 s, also where a controller has just frozen.
 	callTimeout = 1800 * time.Millisecond
@@ -106,7 +108,10 @@
 	// confirmed is the newest time for which the plan and the evacuations held here are known to have been the newest of
 	// all, or zero.
 	confirmed time.Time
-	failing   bool
+	// established is set once that time was recent enough to serve requests. From then on this instance goes on with what
+	// it has when no controller answers.
+	established bool
+	failing     bool
 	// retryPause is the pause after the next failure, timeouts how many calls in a row have run out of time.
 	retryPause time.Duration
 	timeouts   int
@@ -258,8 +263,8 @@
 func (w *Watcher) request() *wire.WatchRequest {
 	s := &w.state
 	out := &wire.WatchRequest{
-		// Without a plan this instance would refuse the callers that look-ups send here.
-		Node: w.describe(s.plan == nil), Run: s.run, Counter: s.counter, Revision: s.revision, First: !s.polled,
+		// Without an established plan this instance would refuse the callers that look-ups send here.
+		Node: w.describe(!s.established), Run: s.run, Counter: s.counter, Revision: s.revision, First: !s.polled,
 		Hosted: s.hosted, Loaded: s.loaded, Loads: w.takeReadings(), Unpacks: true, Observed: s.observed,
 	}
 	if s.plan != nil {
--- a/standin/internal/trials/restart_test.go
+++ b/standin/internal/trials/restart_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -42,40 +43,40 @@
 	return int(info.Size())
 }
 
-// killAll kills all controllers and entry instances, and restarts them after a while.
-func (f *fleet) killAll(t *testing.T, down time.Duration) {
+// restartAll kills all controllers and entry instances, and starts them again after a while. It returns the sizes of the
+// entry instances' logs in between.
+func (f *fleet) restartAll(t *testing.T, down time.Duration) []int {
 	t.Helper()
 	is := is.New(t)
-	for _, p := range append(append(f.Controllers[:0:0], f.Controllers...), f.Entries...) {
+	for _, p := range slices.Concat(f.Controllers, f.Entries) {
 		p.Kill()
 	}
 	time.Sleep(down)
+	var sizes []int
+	for i := range f.Entries {
+		sizes = append(sizes, f.logSize(t, i))
+	}
 	for i := range f.Controllers {
 		is.NoErr(f.StartPlatformController(i, false))
 	}
 	for i := range f.Entries {
 		is.NoErr(f.StartPlatformEntry(i))
 	}
+	return sizes
 }
 
 // Guards against entry instances that begin to work by an older plan than an accepted one, because their controller
 // reaches the others after the restart of all, but does not know yet what was accepted.
 func TestFirstPlanAfterTheRestartOfAll(t *testing.T) {
 	is := is.New(t)
-	const entries = 6
-	f := startFleet(t, 5, entries, 4)
+	f := startFleet(t, 5, 6, 4)
 	for v := 2; v < 5; v++ {
 		until(t, "a plan is accepted", func() bool {
 			return f.operator.Put(context.Background(), speaker.Plan(v, v-1, service)) == http.StatusOK
 		})
-		var offsets [entries]int
-		for i := range entries {
-			offsets[i] = f.logSize(t, i)
-		}
-		f.killAll(t, changeBound)
-		for i := range entries {
-			until(t, "the entry instance has a plan", func() bool { return len(f.plansAfter(t, i, offsets[i])) > 0 })
-			is.True(f.plansAfter(t, i, offsets[i])[0] >= v) // the first plan is at least as new as the accepted one
+		for i, size := range f.restartAll(t, changeBound) {
+			until(t, "the entry instance has a plan", func() bool { return len(f.plansAfter(t, i, size)) > 0 })
+			is.True(f.plansAfter(t, i, size)[0] >= v) // the first plan is at least as new as the accepted one
 		}
 	}
 }
