Entry instances leave a controller that misses only the leader's messages

Cause: linked meant that most voters answer exchanges. A follower that is cut off from the leader alone reaches all others, stays linked, and never learns of a change; its instances have no reason to leave it. The same holds for voters that count by name while an empty disk stands under the name of one. Evidence: TestControllerBehindTheOthersIsLeft fails without the decision (the last line of linked). Change: controllers tell each other whether their state is current. One that has not been confirmed for 1.5 s while another one it reaches is current sends its instances away. While none is current (an election), nobody moves: hundreds of instances that turn from one controller to the next would delay the election. Looked for elsewhere: readiness asks for a view, which is established now; reads and quotas go through the leader's lease; look-ups name instances by their own reports.

--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -33,6 +33,12 @@
 	// which the target tries another controller.
 	quorumTimeout = 900 * time.Millisecond
 	tickInterval  = 200 * time.Millisecond
+	// currentAge is up to which age this controller's state counts as current: several heartbeats of the leader and a
+	// round trip.
+	currentAge = time.Second
+	// behindAfter is the age from which entry instances turn to a controller that is current. A change has to be in force
+	// at them within 2.5 s, and the turn takes half a second.
+	behindAfter = 1500 * time.Millisecond
 	// exchangeInterval is the minimum time between two exchanges with one controller, unless changes are urgent.
 	exchangeInterval = 100 * time.Millisecond
 )
@@ -65,8 +71,8 @@
 	// acknowledged is closed and replaced when another controller has acknowledged changes.
 	acknowledged chan struct{}
 	peers        map[string]*peer
-	// hadQuorum is the result of hasQuorum that watchers were last notified of, wasCurrent that of isCurrent.
-	hadQuorum  bool
+	// wasLinked is the result of linked that watchers were last notified of, wasCurrent that of isCurrent.
+	wasLinked  bool
 	wasCurrent bool
 	// notifiedHosts is the gossip state's counter of host changes at the last notification about hosts. hostsPending is
 	// set while another one is scheduled.
@@ -152,7 +158,7 @@
 	for {
 		x.updatePeers()
 		x.update(func(now time.Time) { x.gossip.Tick(now) })
-		x.checkQuorum(time.Now())
+		x.checkLink(time.Now())
 		select {
 		case <-x.ctx.Done():
 			return
@@ -161,19 +167,19 @@
 	}
 }
 
-// checkQuorum notifies watchers when this controller loses or regains contact with a majority of the voters, and when
-// its state becomes current, for which instances wait that start. After a loss they switch to another controller at
-// once: this one misses decisions that are binding for them too, such as that a target leaves.
-func (x *Exchanger) checkQuorum(now time.Time) {
-	hasQuorum, current := x.hasQuorum(now), isCurrent(now, x.Consensus.Confirmed())
+// checkLink notifies watchers when they have to turn to another controller or may come back, and when this one's state
+// becomes current, for which instances wait that start.
+func (x *Exchanger) checkLink(now time.Time) {
+	linked, confirmed := x.linked(now), x.Consensus.Confirmed()
+	current := isCurrent(now, confirmed)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if hasQuorum == x.hadQuorum && current == x.wasCurrent {
+	if linked == x.wasLinked && current == x.wasCurrent {
 		return
 	}
-	x.hadQuorum, x.wasCurrent = hasQuorum, current
-	_ = level.Warn(x.Logger).Log("msg", "link to most controllers", "linked", hasQuorum,
-		"current", current, "leader", x.Consensus.Routing().Leader, "age", formatAge(now, x.Consensus.Confirmed()))
+	x.wasLinked, x.wasCurrent = linked, current
+	_ = level.Warn(x.Logger).Log("msg", "link to most controllers", "linked", linked, "current", current,
+		"leader", x.Consensus.Routing().Leader, "age", formatAge(now, confirmed))
 	x.notifyWatchers()
 }
 
@@ -307,6 +313,7 @@
 	x.mu.Lock()
 	request := x.gossip.BuildRequest(sent, name)
 	x.mu.Unlock()
+	request.Current = isCurrent(sent, x.Consensus.Confirmed())
 	x.Counter.Add(counter.Exchanges, 1)
 	x.Counter.Add(counter.ExchangedRecords, len(request.GetRecords()))
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -370,6 +377,22 @@
 	return majority(voters, func(name string) bool { return x.gossip.Reachable(now, name) })
 }
 
+// linked reports whether entry instances are served here as well as elsewhere. A controller without contact to a majority
+// of the voters misses decisions that are binding for them, such as that a target leaves. One that misses only the
+// leader's messages has contact to all others, and never learns of a change. While no controller is current, all of them
+// wait for an election, and to turn to another would not help.
+func (x *Exchanger) linked(now time.Time) bool {
+	if !x.hasQuorum(now) {
+		return false
+	}
+	if now.Sub(x.Consensus.Confirmed()) <= behindAfter {
+		return true
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !x.gossip.OtherIsCurrent(now)
+}
+
 // majority reports whether a condition holds for more than half of the voters.
 func majority(voters []string, holds func(name string) bool) bool {
 	n := 0
--- a/controller/internal/exchanger/exchanger_test.go
+++ b/controller/internal/exchanger/exchanger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,8 +20,11 @@
 	"chervilrail.example/core/wire"
 )
 
-// consensus is a group whose other members never answer.
-type consensus struct{ voters []string }
+// consensus is a group whose other members never answer. Its state was confirmed at the time in confirmed, if set.
+type consensus struct {
+	voters    []string
+	confirmed *atomic.Pointer[time.Time]
+}
 
 func (m consensus) Routing() *consenter.Routing {
 	plan := &wire.Plan{Version: 1, Organisations: []*wire.Organisation{{Name: "acme", Keys: []string{"s3cret"}}}}
@@ -31,12 +35,22 @@
 	return out
 }
 
-func (consensus) Confirmed() time.Time { return time.Time{} }
+func (m consensus) Confirmed() time.Time {
+	if m.confirmed == nil || m.confirmed.Load() == nil {
+		return time.Time{}
+	}
+	return *m.confirmed.Load()
+}
 
 func startExchanger(t *testing.T, voters ...string) *Exchanger {
+	t.Helper()
+	return startWith(t, consensus{voters: voters})
+}
+
+func startWith(t *testing.T, group consensus) *Exchanger {
 	t.Helper()
 	x := &Exchanger{
-		Self: "c1", Consensus: consensus{voters}, Dialer: &dialer.Dialer{HTTP1Only: true},
+		Self: "c1", Consensus: group, Dialer: &dialer.Dialer{HTTP1Only: true},
 		Counter: &counter.Counter{}, Logger: log.NewNopLogger(),
 	}
 	is.New(t).NoErr(x.Start(context.Background(), nil))
@@ -154,3 +168,56 @@
 	x := startExchanger(t, "c1", "c2", "c3")
 	is.New(t).True(!watch(t, x, &wire.WatchRequest{Node: &wire.Node{Name: "e1"}}).GetLinked())
 }
+
+// confirmedGroup returns a group of one voter, and a function that sets when its state was confirmed.
+func confirmedGroup() (group consensus, confirm func(at time.Time)) {
+	group = consensus{voters: []string{"c1"}, confirmed: &atomic.Pointer[time.Time]{}}
+	return group, func(at time.Time) { group.confirmed.Store(&at) }
+}
+
+// Guards against instances that keep to a controller which reaches all others but the leader, and never learns of a
+// change. Without a leader all are alike, and instances that turned from one to the next would slow the election down.
+func TestControllerBehindTheOthersIsLeft(t *testing.T) {
+	is := is.New(t)
+	group, confirm := confirmedGroup()
+	x := startWith(t, group)
+	now := time.Now()
+	confirm(now.Add(-behindAfter - time.Second))
+	is.True(x.linked(now)) // nobody is known to be current
+	x.mu.Lock()
+	x.gossip.HandleRequest(now, &wire.ExchangeRequest{From: "c2", Run: 2, Current: true})
+	x.gossip.BuildRequest(now, "c2")
+	x.gossip.HandleResponse(now, "c2", &wire.ExchangeResponse{Run: x.gossip.Run, Answerer: 2})
+	x.mu.Unlock()
+	is.True(!x.linked(now))
+	response, fresh := x.buildResponse(now, &wire.WatchRequest{Run: x.gossip.Run})
+	is.True(fresh && !response.GetLinked())
+	confirm(now)
+	is.True(x.linked(now))
+	confirm(time.Time{})
+	is.True(x.linked(now.Add(5 * time.Second))) // c2 has not been heard of since
+}
+
+// Guards against instances that start and wait a second for each answer although this controller knows that its state is
+// current.
+func TestStartingInstanceIsAnsweredOnceCurrent(t *testing.T) {
+	is := is.New(t)
+	group, confirm := confirmedGroup()
+	x := startWith(t, group)
+	awaitQuorumNotified(t, x)
+	now := time.Now()
+	first, _ := x.buildResponse(now, &wire.WatchRequest{})
+	request := &wire.WatchRequest{
+		Node: &wire.Node{Starting: true, Leaving: true}, Run: x.gossip.Run, Counter: first.GetCounter(),
+		Observed: first.GetObserved(), Revision: first.GetRevision(), Unpacks: true,
+	}
+	response, fresh := x.buildResponse(now, request)
+	is.True(!fresh && !response.GetConfirmed())
+	confirm(now.Add(-time.Millisecond))
+	response, fresh = x.buildResponse(now, request)
+	is.True(fresh && response.GetConfirmed())
+	is.Equal(time.Duration(response.GetAge()), time.Millisecond)
+	request.Node = &wire.Node{}
+	_, fresh = x.buildResponse(now, request)
+	is.True(!fresh)
+}
--- a/controller/internal/exchanger/shared_test.go
+++ b/controller/internal/exchanger/shared_test.go
@@ -97,7 +97,7 @@
 	deadline := time.Now().Add(5 * time.Second)
 	for {
 		x.mu.Lock()
-		notified := x.hadQuorum
+		notified := x.wasLinked
 		x.mu.Unlock()
 		if notified {
 			return
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -71,12 +71,12 @@
 }
 
 // buildResponse builds the response for the current state, and reports whether to send it at once: there are changes
-// that the instance has not seen, it waits for a confirmation of its first plan, or this controller has lost the
-// majority.
+// that the instance has not seen, it waits for a confirmation of its first plan, or it has to turn to another
+// controller.
 func (x *Exchanger) buildResponse(now time.Time, r *wire.WatchRequest) (*wire.WatchResponse, bool) {
 	confirmed := x.Consensus.Confirmed()
 	routing := x.Consensus.Routing()
-	hasQuorum := x.hasQuorum(now)
+	linked := x.linked(now)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	position := gossiper.Position{Records: r.GetCounter(), Instances: r.GetCounter()}
@@ -90,7 +90,7 @@
 	set := x.changesAfter(now, position, r.GetUnpacks())
 	out := &wire.WatchResponse{
 		Run: x.gossip.Run, Counter: set.changes.Next.Records, Observed: set.changes.Next.Instances,
-		Partial: set.changes.Partial, Linked: hasQuorum, Revision: routing.Revision,
+		Partial: set.changes.Partial, Linked: linked, Revision: routing.Revision,
 		Confirmed: !confirmed.IsZero(),
 	}
 	if out.GetConfirmed() {
@@ -113,13 +113,9 @@
 	}
 	fresh := routing.Revision > r.GetRevision() || !set.changes.Empty() || len(out.Hosts) > 0 ||
 		r.GetNode().GetStarting() && isCurrent(now, confirmed)
-	return out, fresh || !hasQuorum && r.GetRun() == x.gossip.Run
+	return out, fresh || !linked && r.GetRun() == x.gossip.Run
 }
 
-// currentAge is up to which age a controller's state counts as current: several heartbeats of the leader and a round
-// trip.
-const currentAge = time.Second
-
 // isCurrent reports whether a state that was confirmed at a given time counts as current.
 func isCurrent(now, confirmed time.Time) bool { return now.Sub(confirmed) <= currentAge }
 
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -70,6 +70,9 @@
 	g.loadTable.Record(now, gauger.Decode(r.GetLoads()), false)
 	p := g.peer(r.GetFrom())
 	p.region = r.GetRegion()
+	if r.GetCurrent() {
+		p.currentAt = now
+	}
 	if !r.GetPartial() {
 		g.compare(now, p, r.GetDigest())
 	}
@@ -146,6 +149,16 @@
 	return name == g.Self || g.peers[name] != nil && now.Sub(g.peers[name].ackedAt) < reachableTimeout
 }
 
+// OtherIsCurrent reports whether a controller that can be reached has lately reported that its routing state is current.
+func (g *Gossiper) OtherIsCurrent(now time.Time) bool {
+	for name, p := range g.peers {
+		if now.Sub(p.currentAt) < reachableTimeout && g.Reachable(now, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // UpdateLoads merges the loads that targets have reported to entry instances.
 func (g *Gossiper) UpdateLoads(now time.Time, loads *wire.Loads) {
 	g.loadTable.Record(now, gauger.Decode(loads), true)
