--- a/standin/internal/soaker/checker.go
+++ b/standin/internal/soaker/checker.go
@@ -32,10 +32,18 @@
 	sent          int
 	complete      int
 	// acked is the newest version of the plan whose change was acknowledged.
-	acked      int
+	acked int
+	// accepted lists the accepted versions, oldest first.
+	accepted   []acceptance
 	departures []departure
 }
 
+// acceptance is a version of the plan whose change was acknowledged at a time.
+type acceptance struct {
+	version int
+	at      time.Time
+}
+
 // departure is a target whose departure was acknowledged. An exempt departure is not checked for late requests.
 type departure struct {
 	target  *speaker.Target
@@ -91,6 +99,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.acked = max(w.acked, version)
+	w.accepted = append(w.accepted, acceptance{version, time.Now()})
 }
 
 func (w *checker) newestAccepted() int {
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -115,7 +115,9 @@
 	case controllerKill, controllerFreeze, controllerWipe:
 		s.injectControllerFault(f)
 	case controllerKillAll:
-		s.killControllers()
+		s.killControllers(restartDelay)
+	case killAll:
+		s.killAll()
 	case targetKill, targetLeave:
 		s.injectTargetFault(ctx, f)
 	case linkReset, linkSilence, linkMute, linkDelay:
@@ -188,7 +190,23 @@
 	s.checkStarted(name, s.system.StartPlatformController(i, false))
 }
 
-func (s *Soak) killControllers() {
+// killAll kills all controllers and entry instances. They come back once every accepted change has to be in force, so
+// that none of the instances may begin by an older plan.
+func (s *Soak) killAll() {
+	s.down.Store(true)
+	defer s.down.Store(false)
+	for i := range entries {
+		if name := fmt.Sprintf("e%d", i); s.reserve(name) {
+			defer s.release(name)
+			s.system.Entries[i].Kill()
+			defer func() { s.checkStarted(name, s.system.StartPlatformEntry(i)) }()
+		}
+	}
+	s.killControllers(changeLimit)
+}
+
+// killControllers kills all controllers and restarts them after a while.
+func (s *Soak) killControllers(down time.Duration) {
 	for i := range controllers {
 		if name := fmt.Sprintf("c%d", i); s.reserve(name) {
 			defer s.release(name)
@@ -196,7 +214,7 @@
 			defer func() { s.checkStarted(name, s.system.StartPlatformController(i, false)) }()
 		}
 	}
-	time.Sleep(restartDelay)
+	time.Sleep(down)
 }
 
 // injectTargetFault kills a target or makes it leave, and starts another one in its place.
--- a/standin/internal/soaker/schedule.go
+++ b/standin/internal/soaker/schedule.go
@@ -9,7 +9,8 @@
 // kind is a kind of fault, named as it is printed.
 type kind string
 
-// The kinds of faults. Faults of controllers leave a majority of them, except for controllerKillAll.
+// The kinds of faults. Faults of controllers leave a majority of them, except for controllerKillAll and killAll, which
+// also kills all entry instances and takes the place of every other controllerKillAll.
 const (
 	entryKill         kind = "entry-kill"
 	entryStop         kind = "entry-stop"
@@ -19,6 +20,7 @@
 	controllerFreeze  kind = "controller-freeze"
 	controllerWipe    kind = "controller-wipe"
 	controllerKillAll kind = "controller-kill-all"
+	killAll           kind = "kill-all"
 	targetKill        kind = "target-kill"
 	targetLeave       kind = "target-leave"
 	linkReset         kind = "link-reset"
@@ -73,6 +75,9 @@
 			}
 			lastLoss = at
 		}
+		if f.kind == controllerKillAll && f.index%2 == 1 {
+			f.kind = killAll
+		}
 		out = append(out, f)
 	}
 	return out
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilrail.example/platform/speaker"
@@ -46,6 +48,8 @@
 	targets        []*relayedTarget
 	startedTargets int
 	group          sync.WaitGroup
+	// down is set while nothing runs; callers then send nothing.
+	down atomic.Bool
 	// reserved contains the processes and zones that are reserved for a running fault.
 	reserved map[string]bool
 }
@@ -83,6 +87,9 @@
 	stopLoad()
 	s.group.Wait()
 	s.checkEnd(ctx)
+	for _, e := range s.system.Entries {
+		s.checker.checkFirstPlans(filepath.Join(s.Folder, e.Name+".log"))
+	}
 	return s.checker.violations, nil
 }
 
@@ -123,6 +130,10 @@
 func (s *Soak) sendRequests(ctx context.Context, i int) {
 	c := s.client(i + 1)
 	for n := 0; ctx.Err() == nil; n++ {
+		if s.down.Load() {
+			time.Sleep(callerPause)
+			continue
+		}
 		method, path := http.MethodGet, fmt.Sprintf("/safe/%d?n=%%2F", n%11)
 		if n%2 == 0 {
 			method, path = http.MethodPost, fmt.Sprintf("/once/%d?n=%%2F", n%11)
