--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -46,6 +47,17 @@
 	return float64(max(0, l.Running+l.Waiting-1)) / float64(l.Slots), true
 }
 
+// Limit is how many requests a target takes from all entry instances together, as long as its answers say so.
+type Limit struct{ PerSecond float64 }
+
+// String formats the limit for logs.
+func (l *Limit) String() string {
+	if l == nil {
+		return ""
+	}
+	return strconv.FormatFloat(l.PerSecond, 'g', -1, 64)
+}
+
 // String formats the load for logs as running+waiting/slots.
 func (l *Load) String() string {
 	if l == nil {
@@ -64,6 +76,8 @@
 	Unrun bool
 	// Load is the target's load; nil if the response does not report it.
 	Load *Load
+	// Limit is the target's limit; nil if the response names none.
+	Limit *Limit
 }
 
 // Codec reads and writes calls and replies in the format of one interface.
--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -88,5 +88,6 @@
 		"organisation", j.organisation.GetName(), "object", objectHash(j.object), "host", j.place.Target,
 		"by", j.place.Reason, "located", j.locateTime,
 		"version", version, "target", j.target, "region", j.region, "sends", j.sends, "status", out.status,
-		"reason", out.reason, "waited", j.queueTime, "took", took, "left", time.Until(j.deadline), "load", j.load)
+		"reason", out.reason, "waited", j.queueTime, "took", took, "left", time.Until(j.deadline), "load", j.load,
+		"limit", j.limit)
 }
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -156,8 +156,9 @@
 	out, state := c.classify(j, answer, sendOutcome)
 	outcome := placer.Outcome{Failed: state != answered}
 	if sendOutcome == pooler.Answered {
-		outcome.Load = c.Codec.Reply(answer.Status, answer.Header).Load
-		j.load = outcome.Load
+		reply := c.Codec.Reply(answer.Status, answer.Header)
+		outcome.Load = reply.Load
+		j.load, j.limit = reply.Load, reply.Limit
 		c.observe(target, outcome.Load)
 	}
 	if state == answered {
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -48,6 +48,7 @@
 	region    string
 	sends     int
 	load      *messenger.Load
+	limit     *messenger.Limit
 	queueTime time.Duration
 	// object names the object of the request; empty if it has none that targets keep warm.
 	object string
