A limit that a target names holds over all entry instances

Cause: nothing read the header. Read by each instance alone, it would still not hold: twelve instances are twelve times the limit, and a part of 1 a second for each of twelve (or three hundred) is below one request in the time that counts.

Design: the first instances of a target's rendezvous order among those of its region hold equal parts, as many instances as get a request a second each, one at least; the others send nothing. Parts are held back one request at most, so that all of them together stay within the limit and one request each. An instance that is told keeps to it at once; it reports it to the controllers, which pass it on to all instances (versioned: the newest change wins, of two at once the stricter). The end is learnt by the holders, which send the next suitable request to a target that was not heard for 1.5 s; an answer without a limit ends it only if its request was sent since the limit was known. Objects leave a target whose limit is below half of what its slots can do. Where limits leave no room at an instance by the time up to which a request may wait, it is refused at once with the time at which there is room.

--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -101,6 +101,7 @@
 	} else {
 		changes := set.changes
 		out.Records, out.Seen, out.Whole, out.Losses = changes.Records, changes.Seen, changes.Whole, changes.Losses
+		out.Ratelimits = changes.RateLimits
 	}
 	out.Hosts, out.Hosted = x.gossip.HostsSince(r.GetNode().GetRegion(), hosted), x.gossip.HostsCounter()
 	out.Loads, out.Loaded = x.gossip.LoadsSince(loaded)
@@ -157,8 +158,8 @@
 	return out
 }
 
-// Tell implements the entry instances' reports: of their own state, of requests lost with a target, and of hosts of
-// objects.
+// Tell implements the entry instances' reports: of their own state, of requests lost with a target, of hosts of objects,
+// and of the limits that targets name.
 func (x *Exchanger) Tell(
 	_ context.Context, r *connect.Request[wire.TellRequest],
 ) (*connect.Response[wire.TellResponse], error) {
@@ -166,6 +167,7 @@
 		x.gossip.ObserveInstance(now, r.Msg.GetNode())
 		x.gossip.ReportLosses(now, r.Msg.GetLosses(), true)
 		x.gossip.UpdateHosts(r.Msg.GetHosts())
+		x.gossip.UpdateRateLimits(r.Msg.GetRatelimits())
 	})
 	return connect.NewResponse(&wire.TellResponse{}), nil
 }
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -40,6 +40,7 @@
 			out.Losses = append(out.Losses, l.report)
 		}
 	}
+	out.Ratelimits = g.rateLimitsBetween(p.acked, out.GetCounter())
 	out.Hosted = g.hosts.counter
 	out.Hosts = g.hosts.since(p.ackedHosts, func(m *hostEntry) bool { return m.local })
 	if p.region == g.Region {
@@ -66,6 +67,7 @@
 		g.recordInstances(g.instances.observe(s.GetNode(), at, false, g.counter), stops(s.GetNode()), false)
 	}
 	g.ReportLosses(now, r.GetLosses(), false)
+	g.mergeRateLimits(r.GetRatelimits(), false)
 	g.mergeHosts(r.GetHosts(), false)
 	g.loadTable.Record(now, gauger.Decode(r.GetLoads()), false)
 	p := g.peer(r.GetFrom())
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -58,6 +58,8 @@
 	losses    []*loss
 	hosts     hosts
 	loadTable gauger.LoadTable
+	// rateLimits are the limits that targets have named.
+	rateLimits rateLimits
 	// counter is incremented with every change that watchers or other controllers have to receive.
 	counter uint64
 	marks   Marks
@@ -314,6 +316,8 @@
 	Seen   []*wire.Seen
 	Whole  bool
 	Losses []*wire.Loss
+	// RateLimits are the limits of targets that changed.
+	RateLimits []*wire.RateLimit
 	// Next is the position that the watcher has reached with these changes; Partial is set if records were left out.
 	Next    Position
 	Partial bool
@@ -321,7 +325,7 @@
 
 // Empty reports whether there are no changes.
 func (n *Changes) Empty() bool {
-	return len(n.Records)+len(n.Seen)+len(n.Losses) == 0
+	return len(n.Records)+len(n.Seen)+len(n.Losses)+len(n.RateLimits) == 0
 }
 
 // Position is what a watcher has received: the counter of the changes of targets, and that of entry instances.
@@ -344,6 +348,7 @@
 			out.Losses = append(out.Losses, l.report)
 		}
 	}
+	out.RateLimits = g.rateLimitsBetween(p.Records, out.Next.Records)
 	out.Seen, out.Whole = g.instances.since(now, p.Instances, upTo)
 	return out
 }
--- a/core/partitioner/partitioner.go
+++ b/core/partitioner/partitioner.go
@@ -79,6 +79,22 @@
 	return HighestWeight(target, members.forRegion(region))
 }
 
+// Position returns the position of an instance in the rendezvous order of those that share a target's slots, and their
+// number. It is -1 if the instance is none of them.
+func Position(self, target string, members *Members, region string) (position, total int) {
+	names := members.forRegion(region)
+	if i := sort.SearchStrings(names, self); i == len(names) || names[i] != self {
+		return -1, len(names)
+	}
+	own := Weight(target, self)
+	for _, name := range names {
+		if w := Weight(target, name); w > own || w == own && name < self {
+			position++
+		}
+	}
+	return position, len(names)
+}
+
 // HighestWeight returns the name with the greatest rendezvous weight for a key, or an empty string if there are no
 // names.
 func HighestWeight(key string, names []string) string {
--- a/core/placer/choice.go
+++ b/core/placer/choice.go
@@ -84,6 +84,9 @@
 // choose returns the host of the request's object, or a target for its overflow. Where no host is known, it is the
 // target where the request is expected to finish first, of those in regions that may get one more request.
 func (p *Placer) choose(now time.Time, t *Ticket) *Target {
+	if target := p.unheard(now, t); target != nil {
+		return target
+	}
 	if host := p.host(now, t); host != nil {
 		if target := p.hostWithRoom(now, t, host); target != nil {
 			return target
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -11,7 +11,7 @@
 //
 // The files: choice finds the target of a request, queue orders the waiting requests, assigner assigns objects to their
 // hosts, room finds the targets with room for them, hosts selects hosts by hash for requests whose host is not known,
-// chance estimates how likely those are warm, balancer moves objects away from overloaded targets, overflow finds a
+// chance estimates how likely those are warm, ratelimit keeps to the limits that targets name, balancer moves objects away from overloaded targets, overflow finds a
 // target for requests whose host is full, crowd estimates the load by other instances' requests, spread limits how fast
 // the shares of requests that go to each region change, target holds the state of one target.
 package placer
@@ -34,6 +34,8 @@
 	// noTargetRetry is the time after which a caller is asked to retry when a service has no target for it: about as
 	// long as a target takes to announce itself.
 	noTargetRetry = time.Second
+	// limitedRetry is the same where the limits of all its targets leave no room.
+	limitedRetry = time.Second
 )
 
 // Ticket is one request that needs a target. Set the exported fields, then Offer it.
@@ -102,7 +104,13 @@
 	Zone   string
 	// InterRegionRTT is the round-trip time to another region.
 	InterRegionRTT time.Duration
+	// Position returns this instance's position among those that may send to a target with a limit. If it is nil, this is
+	// the only one.
+	Position Position
 
+	// limited are the targets with a limit; division divides limits, holders if it is nil.
+	limited  []*Target
+	division divider
 	// firstTargetAt is when this instance first had targets; announced holds the names of those that it had within
 	// announcePeriod from then on.
 	firstTargetAt   time.Time
@@ -200,6 +208,7 @@
 	p.mostUrgent = math.MaxInt32
 	p.totalSlots, p.slotsPerInstance = slots, slots/float64(max(1, entries))
 	p.snapshot.takenAt = time.Time{}
+	p.updateLimits(now)
 	p.regionSplit.update(p.Region, regions)
 	p.regionSplit.entries = float64(entries) / float64(max(1, len(regions)))
 	if changed {
@@ -248,6 +257,9 @@
 	}
 	wait := p.expectedWait(now, t)
 	t.queueDeadline = p.queueDeadline(now, t)
+	if until := p.limitedUntil(now, t); until.IsZero() || until.After(t.queueDeadline) {
+		return Decision{Retry: p.retryAt(now, max(until.Sub(now), limitedRetry)), Reason: "limited"}, true
+	}
 	if now.Add(wait).After(t.queueDeadline) {
 		return Decision{Retry: p.retryAt(now, wait), Reason: "full"}, true
 	}
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -46,6 +46,8 @@
 	// send it until then.
 	ColdUntil time.Time
 	Rate      float64
+	// Limit is the target's own limit, as known to the controllers.
+	Limit RateLimit
 }
 
 // Target is one target with its state as seen by this entry instance. Only its Placer changes it.
@@ -75,7 +77,8 @@
 	// coldSends are the times of the latest requests sent to it during its cold period.
 	coldSends []time.Time
 	// joinedAt is when it joined the other targets, zero if it was there from the start.
-	joinedAt time.Time
+	joinedAt  time.Time
+	allowance allowance
 }
 
 const (
@@ -121,14 +124,15 @@
 	return t.joinedAt
 }
 
-// down reports whether the target's objects have to go elsewhere: it can't be reached, or has lost its warm objects.
+// down reports whether the target's objects have to go elsewhere: it can't be reached, has lost its warm objects, or has
+// named a limit far below what they need.
 func (t *Target) down(now time.Time) bool {
-	return now.Before(t.ColdUntil) || t.failures >= downAfter && now.Before(t.ejectedUntil)
+	return now.Before(t.ColdUntil) || t.allowance.scarce || t.failures >= downAfter && now.Before(t.ejectedUntil)
 }
 
 // usable reports whether requests may be sent to the target now.
 func (t *Target) usable(now time.Time) bool {
-	if now.Before(t.ejectedUntil) {
+	if now.Before(t.ejectedUntil) || !t.allowance.allows(now) {
 		return false
 	}
 	if !now.Before(t.ColdUntil) {
@@ -163,6 +167,7 @@
 // start counts a request that is sent to the target.
 func (t *Target) start(now time.Time) {
 	t.running++
+	t.allowance.spend(now)
 	if now.Before(t.ColdUntil) {
 		t.coldSends = append(t.recentSends(now), now)
 	}
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -159,6 +159,7 @@
 		reply := c.Codec.Reply(answer.Status, answer.Header)
 		outcome.Load = reply.Load
 		j.load, j.limit = reply.Load, reply.Limit
+		c.recordLimit(j, svc, decision, start, reply)
 		c.observe(target, outcome.Load)
 	}
 	if state == answered {
@@ -188,6 +189,27 @@
 	}
 }
 
+// recordLimit records what a target's answer says of its limit, and reports a change to all instances. That the target
+// rejected the request without a limit says nothing of one that it named before.
+func (c *Carrier) recordLimit(
+	j *job, svc *serviceState, decision placer.Decision, sent time.Time, reply messenger.Reply,
+) {
+	if reply.Limit == nil && (!reply.Signed || reply.Unrun) {
+		return
+	}
+	limit, changed := svc.recordLimit(time.Now(), sent, decision.Target, reply.Limit)
+	if !changed {
+		return
+	}
+	target := &decision.Spec
+	_ = level.Info(c.Logger).Log("msg", "target names limit", "id", j.call.ID, "target", target.Name, "named", limit.Named,
+		"rate", limit.Rate, "version", limit.Version)
+	c.Views.ReportRateLimit(&wire.RateLimit{
+		Target: target.Name, Incarnation: target.Incarnation, Service: j.service,
+		Named: limit.Named, Rate: limit.Rate, Version: limit.Version,
+	})
+}
+
 // context returns the context of an attempt, which ends answerMargin after the request's deadline. An idempotent
 // request is cancelled when its caller disconnects; any other continues, because cancelling it halfway would leave the
 // caller uncertain whether, for example, a booking was made.
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -43,6 +43,7 @@
 	View() *watcher.View
 	ReportLoss(l *wire.Loss)
 	ReportHost(h *wire.Host)
+	ReportRateLimit(l *wire.RateLimit)
 	Observe(r gauger.Reading)
 }
 
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -8,6 +8,7 @@
 
 	"chervilrail.example/core/budgeter"
 	"chervilrail.example/core/gauger"
+	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/locator"
@@ -128,6 +129,7 @@
 ) []placer.Spec {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.placement.Position = v.Position
 	withdrawn := g.placement.Update(now, specs, v.InstanceCount)
 	if g.peers == nil || !slices.Equal(g.peers, v.Peers) {
 		g.peers = v.Peers
@@ -181,6 +183,16 @@
 	deliverDecisions(g.placement.Done(time.Now(), t, o))
 }
 
+// recordLimit records what a target's answer to a request sent at a given time says of its limit. It returns the limit
+// and true if others have to learn of a change.
+func (g *serviceState) recordLimit(
+	now, sent time.Time, t *placer.Target, named *messenger.Limit,
+) (placer.RateLimit, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placement.RecordLimit(now, sent, t, named)
+}
+
 // assign returns the place of an object that this instance assigns.
 func (g *serviceState) assign(now time.Time, ask placer.AssignRequest) placer.Assignment {
 	g.mu.Lock()
--- a/entry/internal/watcher/teller.go
+++ b/entry/internal/watcher/teller.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/gossiper"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/core/wire/wireconnect"
 )
@@ -27,7 +30,7 @@
 )
 
 // reporter sends to the controllers what must not wait for the next Watch call: that this instance leaves, which
-// requests were in flight when a target died, and where objects are kept warm. It makes calls of its own. If each
+// requests were in flight when a target died, where objects are kept warm, and which limits targets name. It makes calls of its own. If each
 // report ended the pending Watch call instead, a stream of reports would delay updates: each would end a call that had
 // not been answered yet, and an accepted change would not come into force here while targets die.
 type reporter struct {
@@ -39,6 +42,8 @@
 	mu     sync.Mutex
 	losses []*wire.Loss
 	hosts  []*wire.Host
+	// limits are the pending limits of targets, by the target.
+	limits map[string]*wire.RateLimit
 	// wake holds a value while a report call is requested.
 	wake chan struct{}
 }
@@ -68,6 +73,35 @@
 	w.reporter.signal()
 }
 
+// ReportRateLimit queues a report of a limit that a target has named, or that has ended.
+func (w *Watcher) ReportRateLimit(l *wire.RateLimit) {
+	w.reporter.addLimits(l)
+	w.reporter.signal()
+}
+
+// addLimits queues limits; of several of one target the one that supersedes the others is kept.
+func (t *reporter) addLimits(limits ...*wire.RateLimit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limits == nil {
+		t.limits = map[string]*wire.RateLimit{}
+	}
+	for _, l := range limits {
+		if old, ok := t.limits[l.GetTarget()]; !ok || gossiper.RateLimit(l).Supersedes(gossiper.RateLimit(old)) {
+			t.limits[l.GetTarget()] = l
+		}
+	}
+}
+
+// takeLimits removes and returns the pending limits.
+func (t *reporter) takeLimits() []*wire.RateLimit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := slices.Collect(maps.Values(t.limits))
+	t.limits = nil
+	return out
+}
+
 func (t *reporter) addLosses(losses ...*wire.Loss) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -122,7 +156,7 @@
 	}
 }
 
-// sendReport makes one call. If it fails, losses and hosts are queued again for the next one; that this instance leaves
+// sendReport makes one call. If it fails, losses, hosts and limits are queued again for the next one; that this instance leaves
 // is part of the next Watch call, too.
 func (w *Watcher) sendReport() {
 	controller := w.reporter.controller.Load()
@@ -130,15 +164,17 @@
 		return
 	}
 	losses, hosts := w.reporter.takePending()
+	limits := w.reporter.takeLimits()
 	ctx, cancel := context.WithTimeout(w.ctx, reportTimeout)
 	defer cancel()
 	client := wireconnect.NewExchangeClient(w.client, w.Dialer.URL(*controller))
-	request := &wire.TellRequest{Node: w.describe(w.View() == nil), Losses: losses, Hosts: hosts}
+	request := &wire.TellRequest{Node: w.describe(w.View() == nil), Losses: losses, Hosts: hosts, Ratelimits: limits}
 	if _, err := client.Tell(ctx, connect.NewRequest(request)); err != nil && w.ctx.Err() == nil {
 		_ = level.Warn(w.Logger).Log("msg", "controller not told", "controller", controller,
 			"reports", len(losses), "err", err)
 		w.reporter.addLosses(losses...)
 		w.reporter.addHosts(hosts...)
+		w.reporter.addLimits(limits...)
 		w.reporter.signal()
 	}
 }
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/gauger"
+	"chervilrail.example/core/gossiper"
 	"chervilrail.example/core/partitioner"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/planner"
@@ -26,6 +27,8 @@
 	Targets map[string][]placer.Spec
 	// InstanceCount is how many entry instances share the targets, at least 1.
 	InstanceCount int
+	// Position returns this instance's position among those that may send to a target with a limit.
+	Position placer.Position
 	// Peers are the entry instances of this region that can be called and are not leaving, including this one.
 	Peers []locator.Peer
 }
@@ -34,12 +37,17 @@
 // relevant changed.
 func (w *Watcher) apply(sent, now time.Time, r *wire.WatchResponse) {
 	s := &w.state
+	if s.run != r.GetRun() {
+		// The controllers may all have restarted, and then know no limits.
+		w.reportLimits()
+	}
 	s.position = position{run: r.GetRun(), counter: r.GetCounter(), hosted: r.GetHosted()}
 	s.observed, s.loaded = cmp.Or(r.GetObserved(), r.GetCounter()), r.GetLoaded()
 	w.applyControllers(r)
 	stale := w.applyRouting(sent, now, r)
 	stale = w.applyRecords(now, r.GetRecords()) || stale
 	stale = w.applyInstances(r) || stale
+	stale = w.applyRateLimits(r.GetRatelimits()) || stale
 	stale = w.expireCold(now) || stale
 	if len(r.GetLosses()) > 0 {
 		w.OnLosses(r.GetLosses())
@@ -228,6 +236,45 @@
 	return merged > 0
 }
 
+// maxRateLimits is the number of limits from which those that have ended are dropped.
+const maxRateLimits = 4096
+
+// applyRateLimits merges the limits of targets, and reports whether any of them was newer.
+func (w *Watcher) applyRateLimits(limits []*wire.RateLimit) bool {
+	changed := false
+	for _, l := range limits {
+		if old, ok := w.state.limits[l.GetTarget()]; ok && !gossiper.RateLimit(l).Supersedes(gossiper.RateLimit(old)) {
+			continue
+		}
+		if len(w.state.limits) >= maxRateLimits {
+			maps.DeleteFunc(w.state.limits, func(_ string, old *wire.RateLimit) bool { return !old.GetNamed() })
+		}
+		w.state.limits[l.GetTarget()] = l
+		changed = true
+		_ = level.Info(w.Logger).Log("msg", "limit of a target", "target", l.GetTarget(), "incarnation",
+			l.GetIncarnation(), "named", l.GetNamed(), "rate", l.GetRate(), "version", l.GetVersion())
+	}
+	return changed
+}
+
+// reportLimits queues reports of all limits that hold.
+func (w *Watcher) reportLimits() {
+	for _, l := range w.state.limits {
+		if l.GetNamed() {
+			w.ReportRateLimit(l)
+		}
+	}
+}
+
+// rateLimit returns the limit of a target as far as the controllers know it.
+func (w *Watcher) rateLimit(r *wire.Record) placer.RateLimit {
+	l, ok := w.state.limits[r.GetName()]
+	if !ok || l.GetIncarnation() != r.GetIncarnation() {
+		return placer.RateLimit{}
+	}
+	return gossiper.RateLimit(l)
+}
+
 // applyRecord merges one announcement, and reports whether it was newer. A cold period is only ever extended.
 func (w *Watcher) applyRecord(now time.Time, r *wire.Record) bool {
 	if !w.state.targets.Merge(now, r) {
@@ -258,10 +305,14 @@
 			Name: record.GetName(), Incarnation: record.GetIncarnation(), Address: address,
 			Region: record.GetRegion(), Zone: record.GetZone(), Slots: record.GetSlots(),
 			ColdUntil: s.coldUntil[record.GetName()], Rate: coldRate(service),
+			Limit: w.rateLimit(record),
 		})
 	}
 	v.Peers = w.peers()
 	members := w.members()
+	v.Position = func(target, region string) (int, int) {
+		return partitioner.Position(w.Instance.GetName(), target, members, region)
+	}
 	for name := range v.Targets {
 		w.assignSlots(now, v.Targets[name], members)
 	}
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -96,6 +96,8 @@
 	targets   registrar.Registrar
 	coldUntil map[string]time.Time
 	instances map[string]*wire.Node
+	// limits are the limits that targets have named, by the target.
+	limits map[string]*wire.RateLimit
 	// unpublished is set while the state contains changes that no view shows.
 	unpublished bool
 	// confirmed is the newest time for which the plan and the evacuations held here are known to have been the newest of
@@ -134,6 +136,7 @@
 	w.Instance.Incarnation = rand.Uint64()
 	w.state.coldUntil = map[string]time.Time{}
 	w.state.instances = map[string]*wire.Node{}
+	w.state.limits = map[string]*wire.RateLimit{}
 	w.state.avoidUntil = map[netip.AddrPort]time.Time{}
 	w.state.positions = map[netip.AddrPort]position{}
 	w.state.controllers = slices.Clone(w.Seeds)
