--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -202,6 +202,7 @@
 		return
 	}
 	target := &decision.Spec
+	c.Metrics.limits.WithLabelValues(j.service, formatYes(limit.Named)).Inc()
 	_ = level.Info(c.Logger).Log("msg", "target names limit", "id", j.call.ID, "target", target.Name, "named", limit.Named,
 		"rate", limit.Rate, "version", limit.Version)
 	c.Views.ReportRateLimit(&wire.RateLimit{
@@ -210,6 +211,13 @@
 	})
 }
 
+func formatYes(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
+
 // context returns the context of an attempt, which ends answerMargin after the request's deadline. An idempotent
 // request is cancelled when its caller disconnects; any other continues, because cancelling it halfway would leave the
 // caller uncertain whether, for example, a booking was made.
--- a/entry/internal/carrier/metrics.go
+++ b/entry/internal/carrier/metrics.go
@@ -19,6 +19,7 @@
 	queueDuration *prometheus.HistogramVec
 	placed        *prometheus.CounterVec
 	undelivered   *prometheus.CounterVec
+	limits        *prometheus.CounterVec
 	// organisations counts requests by organisation; labelled are the organisations with a label of their own.
 	organisations *prometheus.CounterVec
 	labelled      atomic.Pointer[map[string]bool]
@@ -52,11 +53,15 @@
 		Namespace: "chervilrail_entry", Name: "held_total",
 		Help: "Requests given up while bytes of them were on the way to a target, by service.",
 	}, []string{"service"})
+	m.limits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "chervilrail_entry", Name: "target_limits_total",
+		Help: "Limits that targets' answers named here (yes) or no longer named (no), by service.",
+	}, []string{"service", "named"})
 	m.organisations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "chervilrail_entry", Name: "organisation_requests_total",
 		Help: "Requests by organisation and status; the largest organisations by name, the rest as others.",
 	}, []string{"organisation", "status"})
-	r.MustRegister(m.requests, m.duration, m.queueDuration, m.placed, m.undelivered, m.organisations)
+	r.MustRegister(m.requests, m.duration, m.queueDuration, m.placed, m.undelivered, m.limits, m.organisations)
 	return m
 }
 
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -51,6 +51,17 @@
 	return n
 }
 
+// reportedLimits returns the limits of targets that were reported.
+func (c *controller) reportedLimits() []*wire.RateLimit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*wire.RateLimit
+	for _, r := range c.reports {
+		out = append(out, r.GetRatelimits()...)
+	}
+	return out
+}
+
 func (c *controller) Watch(
 	_ context.Context, r *connect.Request[wire.WatchRequest],
 ) (*connect.Response[wire.WatchResponse], error) {
@@ -380,3 +391,30 @@
 	}
 	is.True(w.View() != nil)
 }
+
+// Guards against a limit that an instance never learns, and against one that is forgotten with all controllers while
+// instances that were not told go on sending.
+func TestLimitsOfTargetsAreAppliedAndReportedAgain(t *testing.T) {
+	is := is.New(t)
+	limited := answer(5, 3, true, target(1, wire.TargetState_TARGET_READY))
+	limited.Ratelimits = []*wire.RateLimit{{Target: "t1", Incarnation: 1, Named: true, Rate: 1.5, Version: 2}}
+	c, address := startController(t, limited)
+	w := startWatcher(t, address)
+	waitFor(t, func() bool { return w.View() != nil })
+	limit := w.View().Targets["listings"][0].Limit
+	is.True(limit.Named && limit.Rate == 1.5 && limit.Version == 2)
+	position, total := w.View().Position("t1", "r")
+	is.True(position == 0 && total == 1)
+	is.Equal(len(c.reportedLimits()), 0)
+	restarted := answer(5, 3, true)
+	restarted.Run = 2
+	c.setAnswer(restarted)
+	waitFor(t, func() bool { return len(c.reportedLimits()) > 0 })
+	is.Equal(c.reportedLimits()[0].GetVersion(), uint64(2))
+	older := answer(5, 3, true)
+	older.Ratelimits = []*wire.RateLimit{{Target: "t1", Incarnation: 1, Version: 1}}
+	c.setAnswer(older)
+	before := c.requestCount()
+	waitFor(t, func() bool { return c.requestCount() > before+3 })
+	is.True(w.View().Targets["listings"][0].Limit.Named)
+}
