A controller that hears of a new leader a moment late is not behind the others

Another controller has to be current for half a second now. A follower that is cut off from its leader is left as before: the others have been current all the time.

--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -39,6 +39,9 @@
 	// behindAfter is the age from which entry instances turn to a controller that is current. A change has to be in force
 	// at them within 2.5 s, and the turn takes half a second.
 	behindAfter = 1500 * time.Millisecond
+	// catchUpTime is the time within which all controllers hear of a new leader. Before, those that do not know it yet are
+	// not behind the others.
+	catchUpTime = 500 * time.Millisecond
 	// exchangeInterval is the minimum time between two exchanges with one controller, unless changes are urgent.
 	exchangeInterval = 100 * time.Millisecond
 )
@@ -390,7 +393,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return !x.gossip.OtherIsCurrent(now)
+	return !x.gossip.OtherIsCurrent(now.Add(-catchUpTime), now)
 }
 
 // majority reports whether a condition holds for more than half of the voters.
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -72,9 +72,7 @@
 	g.loadTable.Record(now, gauger.Decode(r.GetLoads()), false)
 	p := g.peer(r.GetFrom())
 	p.region = r.GetRegion()
-	if r.GetCurrent() {
-		p.currentAt = now
-	}
+	p.recordCurrency(now, r.GetCurrent())
 	if !r.GetPartial() {
 		g.compare(now, p, r.GetDigest())
 	}
@@ -151,10 +149,24 @@
 	return name == g.Self || g.peers[name] != nil && now.Sub(g.peers[name].ackedAt) < reachableTimeout
 }
 
-// OtherIsCurrent reports whether a controller that can be reached has lately reported that its routing state is current.
-func (g *Gossiper) OtherIsCurrent(now time.Time) bool {
+// recordCurrency records whether a controller reports that its routing state is current.
+func (p *peer) recordCurrency(now time.Time, current bool) {
+	switch {
+	case !current:
+		p.currentAt, p.currentSince = time.Time{}, time.Time{}
+		return
+	case now.Sub(p.currentAt) >= reachableTimeout:
+		p.currentSince = now
+	}
+	p.currentAt = now
+}
+
+// OtherIsCurrent reports whether a controller that can be reached has reported that its routing state is current, from a
+// given time until lately.
+func (g *Gossiper) OtherIsCurrent(since, now time.Time) bool {
 	for name, p := range g.peers {
-		if now.Sub(p.currentAt) < reachableTimeout && g.Reachable(now, name) {
+		current := now.Sub(p.currentAt) < reachableTimeout && !p.currentSince.After(since)
+		if current && g.Reachable(now, name) {
 			return true
 		}
 	}
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -95,8 +95,9 @@
 	acked      uint64
 	ackedHosts uint64
 	ackedAt    time.Time
-	// currentAt is when it last reported that its routing state is current.
-	currentAt time.Time
+	// currentAt is when it last reported that its routing state is current, currentSince when it began to do so.
+	currentAt    time.Time
+	currentSince time.Time
 	// loadsSentAt is when loads were last sent to it.
 	loadsSentAt time.Time
 	differs     bool
