--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -19,6 +19,7 @@
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/gossiper"
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/logger"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/core/wire/wireconnect"
 )
@@ -180,10 +181,13 @@
 	if linked == x.wasLinked && current == x.wasCurrent {
 		return
 	}
+	notify := linked != x.wasLinked || current
 	x.wasLinked, x.wasCurrent = linked, current
 	_ = level.Warn(x.Logger).Log("msg", "link to most controllers", "linked", linked, "current", current,
-		"leader", x.Consensus.Routing().Leader, "age", formatAge(now, confirmed))
-	x.notifyWatchers()
+		"leader", x.Consensus.Routing().Leader, "age", logger.Age(now, confirmed))
+	if notify {
+		x.notifyWatchers()
+	}
 }
 
 // update applies a change to the gossip state. It notifies watchers and peers of what they have to receive.
@@ -364,14 +368,6 @@
 	}
 }
 
-// formatAge returns for logs how long ago a state was confirmed.
-func formatAge(now, confirmed time.Time) string {
-	if confirmed.IsZero() {
-		return "unconfirmed"
-	}
-	return now.Sub(confirmed).String()
-}
-
 // hasQuorum reports whether this controller has recently reached a majority of the voters.
 func (x *Exchanger) hasQuorum(now time.Time) bool {
 	voters := x.Consensus.Routing().Voters()
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -12,6 +12,7 @@
 
 	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/gossiper"
+	"chervilrail.example/core/logger"
 	"chervilrail.example/core/partitioner"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/planner"
@@ -172,7 +173,7 @@
 func (w *Watcher) logPlan(now time.Time) {
 	s := &w.state
 	_ = level.Info(w.Logger).Log("msg", "plan in force", "version", s.plan.Plan.GetVersion(), "revision", s.revision,
-		"routes", len(s.plan.Plan.GetRoutes()), "controller", s.controller, "age", formatAge(now, s.confirmed))
+		"routes", len(s.plan.Plan.GetRoutes()), "controller", s.controller, "age", logger.Age(now, s.confirmed))
 }
 
 // confirmedAt returns a time for which the state in the response to a call sent at a given time is known to have been
@@ -185,14 +186,6 @@
 	return sent.Add(time.Duration(r.GetHeld() - r.GetAge()))
 }
 
-// formatAge returns for logs how long ago a state was confirmed.
-func formatAge(now, confirmed time.Time) string {
-	if confirmed.IsZero() {
-		return "unconfirmed"
-	}
-	return now.Sub(confirmed).String()
-}
-
 // markReturnedCold marks the targets of a zone as cold when its evacuation ends: their caches had no traffic, and the
 // full load at once would crash them.
 func (w *Watcher) markReturnedCold(now time.Time, evacuated []string) {
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -18,6 +18,7 @@
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/logger"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/registrar"
 	"chervilrail.example/core/wire"
@@ -302,7 +303,7 @@
 	if !w.state.failing {
 		w.state.failing = true
 		_ = level.Warn(w.Logger).Log("msg", "controller does not answer", "controller", w.state.controller,
-			"took", time.Since(o.call.sent), "age", formatAge(time.Now(), w.state.confirmed), "err", o.err)
+			"took", time.Since(o.call.sent), "age", logger.Age(time.Now(), w.state.confirmed), "err", o.err)
 	}
 	w.failOver()
 	return false
