A target gets its objects back when its limit ends

Its objects had gone elsewhere and nothing moved them back: a target whose limit ends did not count as one that has become ready. It does now, as one does that has joined or is warm again, and objects return at the same bounded rate.

TestObjectsReturnAfterTheEndOfALimit fails without it.

--- a/core/placer/assigner.go
+++ b/core/placer/assigner.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// recordReady records when a target became ready for objects.
+func (a *assigner) recordReady(t *Target) {
+	if ready := t.readyAt(); ready.After(a.newestReadyAt) {
+		a.newestReadyAt = ready
+	}
+}
+
 // Assign returns the target of a request for an object that this instance owns. It assigns one if the object has none,
 // or if its target can't be used.
 func (p *Placer) Assign(now time.Time, request AssignRequest) Assignment {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -190,9 +190,7 @@
 			delete(old, s.Name)
 		}
 		t.Spec = s
-		if ready := t.readyAt(); ready.After(p.assigner.newestReadyAt) {
-			p.assigner.newestReadyAt = ready
-		}
+		p.assigner.recordReady(t)
 		p.byName[s.Name] = t
 		p.byKey[gauger.Key(s.Name)] = t
 		if p.starting(now) {
--- a/core/placer/ratelimit.go
+++ b/core/placer/ratelimit.go
@@ -90,8 +90,9 @@
 	// since is when this instance learned of the limit, heardAt when an answer last named it.
 	since   time.Time
 	heardAt time.Time
-	// scarce is set if the target can take so little that its objects have to go elsewhere.
-	scarce bool
+	// scarce is set if the target can take so little that its objects have to go elsewhere, endedAt when that ended last.
+	scarce  bool
+	endedAt time.Time
 }
 
 // allows reports whether this instance may send a request now.
@@ -127,6 +128,9 @@
 	} else {
 		a.tokens = a.balance(now)
 	}
+	if a.scarce && !scarce {
+		a.endedAt = now
+	}
 	a.RateLimit, a.part, a.at, a.scarce = l, part, now, scarce
 }
 
@@ -142,6 +146,7 @@
 	}
 	capacity := float64(t.Slots) / p.typicalServiceTime().Seconds()
 	t.allowance.set(now, l, p.divider().part(l.Rate, position, total), l.Named && l.Rate < scarceFraction*capacity)
+	p.assigner.recordReady(t)
 	p.limited = slices.DeleteFunc(p.limited, func(other *Target) bool { return other == t })
 	if l.Named {
 		p.limited = append(p.limited, t)
--- a/core/placer/ratelimit_test.go
+++ b/core/placer/ratelimit_test.go
@@ -187,3 +187,30 @@
 	p = limitedPlacer(1000, 0, 12)
 	is.True(p.Eligible(start, "a", nil))
 }
+
+// Guards against a target that stays empty after its limit has ended, because all objects have other targets.
+func TestObjectsReturnAfterTheEndOfALimit(t *testing.T) {
+	is := is.New(t)
+	specs := []Spec{spec("a"), spec("b")}
+	p := newPlacer(specs...)
+	p.Position = func(string, string) (int, int) { return 0, 1 }
+	p.SetOwnership(func(uint64) bool { return true }, 0, 1)
+	p.RecordLimit(start, start, p.byName["a"], &messenger.Limit{PerSecond: 0.5})
+	for i := range 40 {
+		place := p.Assign(start, AssignRequest{Object: fmt.Sprint("o", i), ColdTime: time.Millisecond})
+		is.Equal(place.Target, "b")
+	}
+	now := start.Add(10 * time.Second)
+	_, changed := p.RecordLimit(now, now.Add(-time.Second), p.byName["a"], nil)
+	is.True(changed)
+	moved := 0
+	for range 100 {
+		now = now.Add(balanceInterval)
+		for _, m := range p.Balance(now) {
+			is.Equal(m.Target, "a")
+			is.Equal(m.Reason, "joined")
+			moved++
+		}
+	}
+	is.True(moved >= 10)
+}
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -118,10 +118,13 @@
 
 // readyAt is when the target became able to keep objects warm, zero if it could from the start.
 func (t *Target) readyAt() time.Time {
-	if t.ColdUntil.After(t.joinedAt) {
-		return t.ColdUntil
+	latest := t.joinedAt
+	for _, at := range []time.Time{t.ColdUntil, t.allowance.endedAt} {
+		if at.After(latest) {
+			latest = at
+		}
 	}
-	return t.joinedAt
+	return latest
 }
 
 // down reports whether the target's objects have to go elsewhere: it can't be reached, has lost its warm objects, or has
--- a/standin/internal/trials/platform_test.go
+++ b/standin/internal/trials/platform_test.go
@@ -26,12 +26,14 @@
 	*starter.PlatformSystem
 	operator *speaker.Operator
 	targets  []*speaker.Target
+	// objects is how many objects the load requests.
+	objects int
 }
 
 func startFleet(t *testing.T, controllers, entries, targets int) *fleet {
 	t.Helper()
 	is := is.New(t)
-	f := &fleet{PlatformSystem: &starter.PlatformSystem{System: prepare(t)}}
+	f := &fleet{PlatformSystem: &starter.PlatformSystem{System: prepare(t)}, objects: 7}
 	is.NoErr(f.StartPlatformSystem(controllers, entries))
 	f.operator = &speaker.Operator{Controllers: f.PlatformURLs()}
 	for i := range targets {
@@ -80,7 +82,7 @@
 				if n%2 == 0 {
 					method, path = http.MethodPost, "/once/"
 				}
-				a := c.Send(context.Background(), method, fmt.Sprintf("%s%d?n=%%2F", path, n%7), fmt.Sprint(n%7), "body")
+				a := c.Send(context.Background(), method, fmt.Sprintf("%s%d?n=%%2F", path, n%f.objects), fmt.Sprint(n%f.objects), "body")
 				mu.Lock()
 				all = append(all, a)
 				mu.Unlock()
--- a/standin/internal/trials/targetlimit_test.go
+++ b/standin/internal/trials/targetlimit_test.go
@@ -38,6 +38,7 @@
 func TestLimitOfATargetHoldsOverAllInstances(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 3, 6, 4)
+	f.objects = 60
 	stop := f.load(12)
 	time.Sleep(time.Second)
 	limited := f.targets[0]
