--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -117,9 +117,6 @@
 	return out, fresh || !linked && r.GetRun() == x.gossip.Run
 }
 
-// isCurrent reports whether a state that was confirmed at a given time counts as current.
-func isCurrent(now, confirmed time.Time) bool { return now.Sub(confirmed) <= currentAge }
-
 // addPlan adds a plan to a response, packed if it is large and the instance unpacks it. The caller holds the lock.
 func (x *Exchanger) addPlan(out *wire.WatchResponse, plan *wire.Plan, unpacks bool) {
 	out.Plan = plan
