A leader that has restarted is elected again at once

What callers saw: with first plans that wait for a confirmed state, nobody is served between the restart of all and the election, 1.3 s after it.

Cause: a restarted replica votes for nobody for an election timeout, for it may have confirmed a leader whose lease goes on. After the restart of all that leader has restarted, too, and holds none; nobody knew.

Change: a replica keeps on disk the newest term that it led. A candidate names it in its requests. The only lease that a voter may have confirmed and that may go on is that of its own term's leader; if that is the candidate, it leads no longer. A replica that led the newest term it knows campaigns every heartbeat after its start, for an election timeout.

--- a/core/replicator/confirmation_test.go
+++ b/core/replicator/confirmation_test.go
@@ -63,3 +63,34 @@
 		is.True(!n.ConfirmedAt().IsZero())
 	}
 }
+
+// Guards against a second without a leader after the restart of all replicas: none of them votes as long as the leader of
+// before may hold a lease, although it has restarted, too, and holds none.
+func TestFormerLeaderIsElectedAtOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		g := newGroup(t, seed, 5)
+		l := g.converge()
+		for _, n := range g.replicas {
+			g.boot(n)
+		}
+		g.inFlight = nil
+		g.runFor(testTiming.Heartbeat + 20*time.Millisecond)
+		is.Equal(g.leader(), l)
+	}
+}
+
+// Guards against a former leader that takes the votes of replicas which follow another one by now.
+func TestFormerLeaderDoesNotReplaceItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 1, 5)
+	l := g.converge()
+	l.up = false
+	g.runFor(time.Second)
+	successor := g.leader()
+	is.True(successor != nil && successor != l)
+	g.boot(l)
+	g.runFor(testTiming.Election)
+	is.Equal(g.leader(), successor)
+	is.Equal(l.Role(), Follower)
+}
--- a/core/replicator/election.go
+++ b/core/replicator/election.go
@@ -28,6 +28,7 @@
 			Term:    r.campaignTerm(),
 			Index:   r.log.last(),
 			Logterm: r.log.term(r.log.last()),
+			Led:     r.led,
 		})
 	}
 	r.countVotes(now)
@@ -63,6 +64,7 @@
 	r.role = Leader
 	r.leader = r.Self
 	r.leaderSince = now
+	r.led, r.voteUnsaved = r.term, true
 	r.rounds = map[uint64]time.Time{}
 	r.peers = map[memberID]*progress{}
 	r.joiners = map[memberID]*wire.Member{}
@@ -106,11 +108,16 @@
 	r.resetElectionTimer(now)
 }
 
-// leaderAlive reports whether some leader may still hold a lease that this replica confirmed.
-func (r *Replica) leaderAlive(now time.Time) bool {
+// leaderAlive reports whether some leader may still hold a lease that this replica confirmed, when a candidate requests
+// its vote. The only leader that may is that of this replica's term. If it is the candidate itself, it leads no longer:
+// it has restarted, or lost its quorum. After a restart of all replicas it need not wait for the end of its own lease.
+func (r *Replica) leaderAlive(now time.Time, candidate *wire.Message) bool {
 	if r.role == Leader {
 		return r.LeaseDeadline(now).After(now)
 	}
+	if candidate.GetLed() > 0 && candidate.GetLed() == r.term {
+		return false
+	}
 	return now.Before(r.noVoteUntil)
 }
 
@@ -124,7 +131,7 @@
 
 func (r *Replica) handlePrevote(now time.Time, m *wire.Message) {
 	r.handleNonMember(m.GetFrom())
-	grant := m.GetTerm() > r.term && r.upToDate(m) && !r.leaderAlive(now)
+	grant := m.GetTerm() > r.term && r.upToDate(m) && !r.leaderAlive(now, m)
 	r.send(m.GetFrom(), &wire.Message{
 		Kind:   wire.MessageKind_MESSAGE_PREVOTE_REPLY,
 		Term:   r.replyTerm(grant, m),
@@ -140,7 +147,7 @@
 }
 
 func (r *Replica) handleVote(now time.Time, m *wire.Message) {
-	if r.leaderAlive(now) {
+	if r.leaderAlive(now, m) {
 		return
 	}
 	if m.GetTerm() > r.term {
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -89,6 +89,10 @@
 	heartbeatAt time.Time
 	// noVoteUntil protects the leader's lease: until then this replica votes for nobody else.
 	noVoteUntil time.Time
+	// led is the newest term in which this replica was leader. If that was the newest of all when it restarted, it
+	// campaigns every heartbeat until resumeUntil.
+	led         uint64
+	resumeUntil time.Time
 	leaderSince time.Time
 	round       uint64
 	// rounds holds when each recent heartbeat round was sent.
@@ -146,6 +150,11 @@
 	// be elected within the first one's lease, and two controllers would grant the same limits.
 	r.noVoteUntil = now.Add(r.Timing.Election)
 	r.resetElectionTimer(now)
+	r.led = vote.GetLed()
+	if r.led == r.term && r.led > 0 {
+		r.resumeUntil = r.noVoteUntil
+		r.electionAt = now.Add(r.Timing.Heartbeat)
+	}
 }
 
 // Role returns the replica's current role.
@@ -233,6 +242,9 @@
 		return
 	}
 	r.resetElectionTimer(now)
+	if now.Before(r.resumeUntil) {
+		r.electionAt = now.Add(r.Timing.Heartbeat)
+	}
 	if !r.isVoter(idOf(r.Self)) {
 		r.requestJoin()
 		return
@@ -295,7 +307,7 @@
 		r.firstUnsaved = r.log.last() + 1
 	}
 	if r.voteUnsaved || len(out.Entries) > 0 {
-		out.Vote = &wire.Vote{Term: r.term, Choice: r.votedFor, Commit: r.commit}
+		out.Vote = &wire.Vote{Term: r.term, Choice: r.votedFor, Commit: r.commit, Led: r.led}
 		r.voteUnsaved = false
 	}
 	out.Messages = r.outbox
