Logs and a metric for attempts that targets turn away

Each answer by which a target turns a request away, or says that it wants no requests or leaves, is now logged with the way by which the target was found; headers that can't be read are named. Nothing acts on it yet.

--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -78,6 +78,12 @@
 	Load *Load
 	// Limit is the target's limit; nil if the response names none.
 	Limit *Limit
+	// RetryAt is until when the target wants no requests from this instance; zero if the response does not say so.
+	RetryAt time.Time
+	// Leaving is set if the target reports that it leaves.
+	Leaving bool
+	// Malformed are the names of headers with values that could not be read.
+	Malformed []string
 }
 
 // Codec reads and writes calls and replies in the format of one interface.
@@ -86,6 +92,6 @@
 	Call(r *http.Request, now time.Time) (Call, error)
 	// SetTargetHeaders writes the destination into a request's header and removes what the target must not receive.
 	SetTargetHeaders(h http.Header, to Destination, now time.Time)
-	// Reply reads the status and header of a target's response.
-	Reply(status int, h http.Header) Reply
+	// Reply reads the status and header of a target's response; now is the time from which relative deadlines count.
+	Reply(status int, h http.Header, now time.Time) Reply
 }
--- a/core/placer/choice.go
+++ b/core/placer/choice.go
@@ -27,18 +27,19 @@
 	fullTargetCost = 10 * time.Millisecond
 )
 
-// place selects a target for a request and counts the request there, or returns nil if no target has room for it.
-func (p *Placer) place(now time.Time, t *Ticket) *Target {
-	target := p.choose(now, t)
-	if target != nil {
-		target.start(now)
-		p.snapshot.changes++
-		p.recordPlacement(now)
-		p.regionSplit.recordSend(target.Region)
-		host := p.byName[t.Host]
-		p.overflow.count(now, host != nil && target.Region != host.Region)
-	}
-	return target
+// place selects a target for a request and counts the request there; it returns false if no target has room for it.
+func (p *Placer) place(now time.Time, t *Ticket) (Decision, bool) {
+	target, reason := p.choose(now, t)
+	if target == nil {
+		return Decision{}, false
+	}
+	target.start(now)
+	p.snapshot.changes++
+	p.recordPlacement(now)
+	p.regionSplit.recordSend(target.Region)
+	host := p.byName[t.Host]
+	p.overflow.count(now, host != nil && target.Region != host.Region)
+	return Decision{Target: target, Spec: target.Spec, Reason: reason}, true
 }
 
 // starting reports whether targets may still have to announce themselves to a system that has just started.
@@ -82,20 +83,26 @@
 }
 
 // choose returns the host of the request's object, or a target for its overflow. Where no host is known, it is the
-// target where the request is expected to finish first, of those in regions that may get one more request.
-func (p *Placer) choose(now time.Time, t *Ticket) *Target {
+// target where the request is expected to finish first, of those in regions that may get one more request. The reason is
+// a single word for logs; it applies if there is a target.
+func (p *Placer) choose(now time.Time, t *Ticket) (target *Target, reason string) {
 	if target := p.unheard(now, t); target != nil {
-		return target
+		return target, "unheard"
 	}
 	if host := p.host(now, t); host != nil {
 		if target := p.hostWithRoom(now, t, host); target != nil {
-			return target
+			return target, "host"
 		}
-		return p.chooseOverflow(now, t, host)
+		return p.chooseOverflow(now, t, host), "overflow"
 	}
 	if p.awaited(now, t.Host) {
-		return nil
+		return nil, ""
 	}
+	return p.chooseFastest(now, t), "fastest"
+}
+
+// chooseFastest returns the target where a request without a host is expected to finish first, or nil.
+func (p *Placer) chooseFastest(now time.Time, t *Ticket) *Target {
 	hosts := p.hosts.forObject(t.Key)
 	candidates := p.targets
 	if p.snapshot.slotsScarce && p.anyUsable(now, t, hosts) {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -78,13 +78,10 @@
 	Spec   Spec
 	// Retry is when a refused caller should retry.
 	Retry time.Time
-	// Reason is a single word for logs.
+	// Reason is a single word for logs: why the request is refused, or how its target was found.
 	Reason string
 }
 
-// sendTo returns the decision to send a request to a target.
-func sendTo(t *Target) Decision { return Decision{Target: t, Spec: t.Spec} }
-
 // Outcome is how a request at a target ended.
 type Outcome struct {
 	// ResponseTime is the time to the answer, zero if there was none; ExpectedTime is what was expected.
@@ -249,8 +246,8 @@
 	}
 	p.refreshSnapshot(now)
 	if p.ticketsAhead(now, t) == 0 {
-		if target := p.place(now, t); target != nil {
-			return sendTo(target), true
+		if decision, ok := p.place(now, t); ok {
+			return decision, true
 		}
 	}
 	wait := p.expectedWait(now, t)
@@ -299,8 +296,8 @@
 	var out []Placed
 	var rest []*Ticket
 	for _, t := range p.queue {
-		if target := p.place(now, t); target != nil {
-			out = append(out, Placed{t, sendTo(target)})
+		if decision, ok := p.place(now, t); ok {
+			out = append(out, Placed{t, decision})
 			continue
 		}
 		if !now.Before(t.queueDeadline) {
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -153,10 +155,14 @@
 	if sendOutcome != pooler.Unsent {
 		j.sends++
 	}
-	out, state := c.classify(j, answer, sendOutcome)
+	var reply messenger.Reply
+	if sendOutcome == pooler.Answered {
+		reply = c.Codec.Reply(answer.Status, answer.Header, time.Now())
+	}
+	out, state := c.classify(j, answer, reply, sendOutcome)
 	outcome := placer.Outcome{Failed: state != answered}
 	if sendOutcome == pooler.Answered {
-		reply := c.Codec.Reply(answer.Status, answer.Header)
+		c.recordReply(j, decision, answer.Status, reply)
 		outcome.Load = reply.Load
 		j.load, j.limit = reply.Load, reply.Limit
 		c.recordLimit(j, svc, decision, start, reply)
@@ -182,6 +188,24 @@
 	return out, state
 }
 
+// recordReply logs and counts an answer by which a target turns a request away or says something of itself that changes
+// what it should get.
+func (c *Carrier) recordReply(j *job, decision placer.Decision, status int, reply messenger.Reply) {
+	if reply.Unrun {
+		c.Metrics.rejections.WithLabelValues(j.service, strconv.Itoa(status)).Inc()
+	}
+	if !reply.Unrun && reply.RetryAt.IsZero() && !reply.Leaving && len(reply.Malformed) == 0 {
+		return
+	}
+	var backoff time.Duration
+	if !reply.RetryAt.IsZero() {
+		backoff = time.Until(reply.RetryAt)
+	}
+	_ = level.Info(c.Logger).Log("msg", "answer of target", "id", j.call.ID, "target", decision.Spec.Name,
+		"incarnation", decision.Spec.Incarnation, "way", decision.Reason, "status", status, "unrun", reply.Unrun,
+		"backoff", backoff, "leaving", reply.Leaving, "load", reply.Load, "malformed", strings.Join(reply.Malformed, ","))
+}
+
 // observe reports the load that a target sent with its answer, if the report is usable.
 func (c *Carrier) observe(target *placer.Spec, l *messenger.Load) {
 	if load, ok := l.PerSlot(); ok {
@@ -242,12 +266,14 @@
 		Host:    j.request.Host,
 		Header:  header,
 		Body:    j.body,
-		Matches: func(h http.Header) bool { return c.Codec.Reply(http.StatusOK, h).ID == j.call.ID },
+		Matches: func(h http.Header) bool { return c.Codec.Reply(http.StatusOK, h, now).ID == j.call.ID },
 	}
 }
 
 // classify returns the result and the state of an attempt from its answer.
-func (c *Carrier) classify(j *job, a *pooler.Answer, sendOutcome pooler.Outcome) (result, attemptState) {
+func (c *Carrier) classify(
+	j *job, a *pooler.Answer, reply messenger.Reply, sendOutcome pooler.Outcome,
+) (result, attemptState) {
 	switch sendOutcome {
 	case pooler.Unsent:
 		return result{}, unsent
@@ -255,7 +281,6 @@
 		return result{}, unknown
 	case pooler.Answered:
 	}
-	reply := c.Codec.Reply(a.Status, a.Header)
 	if reply.Unrun {
 		return result{}, notExecuted
 	}
--- a/entry/internal/carrier/metrics.go
+++ b/entry/internal/carrier/metrics.go
@@ -20,6 +20,7 @@
 	placed        *prometheus.CounterVec
 	undelivered   *prometheus.CounterVec
 	limits        *prometheus.CounterVec
+	rejections    *prometheus.CounterVec
 	// organisations counts requests by organisation; labelled are the organisations with a label of their own.
 	organisations *prometheus.CounterVec
 	labelled      atomic.Pointer[map[string]bool]
@@ -57,11 +58,16 @@
 		Namespace: "chervilrail_entry", Name: "target_limits_total",
 		Help: "Limits that targets' answers named here (yes) or no longer named (no), by service.",
 	}, []string{"service", "named"})
+	m.rejections = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "chervilrail_entry", Name: "target_rejections_total",
+		Help: "Attempts that a target reported not to have run, by service and the status of its answer.",
+	}, []string{"service", "status"})
 	m.organisations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "chervilrail_entry", Name: "organisation_requests_total",
 		Help: "Requests by organisation and status; the largest organisations by name, the rest as others.",
 	}, []string{"organisation", "status"})
-	r.MustRegister(m.requests, m.duration, m.queueDuration, m.placed, m.undelivered, m.limits, m.organisations)
+	r.MustRegister(m.requests, m.duration, m.queueDuration, m.placed, m.undelivered, m.limits, m.rejections,
+		m.organisations)
 	return m
 }
 
