A target that asks for no requests for a while gets none

Ruled out: another way to the target, decisions older than the answer.

Change: the time is kept per target and incarnation, the longest wins, bounded at five minutes, and also held while the target is out of the control state for a moment. One gate (placer/gate.go) is asked by every way to a target; the pooler asks again just before the bytes leave. Requests for objects of such a target go to one substitute of its region by rendezvous, or wait where that is sooner. The return begins with one request and widens with each answer; repeated backoffs grow. Where all targets want none, callers are refused at once, with spread times to come back. A rejection's load of 0+0 no longer makes the target look empty.

--- a/core/placer/choice.go
+++ b/core/placer/choice.go
@@ -56,7 +56,7 @@
 // host returns the target that keeps the object of a request warm, or nil if there is none or it can't be used.
 func (p *Placer) host(now time.Time, t *Ticket) *Target {
 	host, ok := p.byName[t.Host]
-	if !ok || !p.allowed(host, t) || host.down(now) {
+	if !ok || !p.allowed(host, t) || host.down(now) || !p.awaitsHost(now, t, host) {
 		return nil
 	}
 	return host
@@ -98,6 +98,9 @@
 	if p.awaited(now, t.Host) {
 		return nil, ""
 	}
+	if target := p.chooseSubstitute(now, t); target != nil {
+		return target, "substitute"
+	}
 	return p.chooseFastest(now, t), "fastest"
 }
 
@@ -108,10 +111,20 @@
 	if p.snapshot.slotsScarce && p.anyUsable(now, t, hosts) {
 		candidates = hosts
 	}
+	if best := p.fastest(now, t, candidates, hosts, false); best != nil {
+		return best
+	}
+	return p.fastest(now, t, candidates, hosts, true)
+}
+
+// fastest returns the target of some where a request is expected to finish first, or nil if none has room. Targets that
+// want no requests of other instances are left out unless avoided is set.
+func (p *Placer) fastest(now time.Time, t *Ticket, candidates, hosts []*Target, avoided bool) *Target {
 	var best *Target
 	var lowest time.Duration
 	for _, target := range candidates {
-		if !p.allowed(target, t) || !target.usable(now) || !p.regionSplit.allows(now, target.Region) {
+		if !p.allowed(target, t) || !target.usable(now) || !p.regionSplit.allows(now, target.Region) ||
+			target.backoff.avoided(now) != avoided {
 			continue
 		}
 		cost, ok := p.cost(now, target, t, warmProbability(slices.Index(hosts, target)))
--- a/core/placer/overflow.go
+++ b/core/placer/overflow.go
@@ -111,7 +111,8 @@
 // mayOverflow reports whether a request may go from its full host to a target. After a failure or a change of targets,
 // regions take as much as they have room for.
 func (p *Placer) mayOverflow(now time.Time, t *Ticket, host, target *Target) bool {
-	if !p.allowed(target, t) || !target.usable(now) || now.Before(target.ColdUntil) {
+	if !p.allowed(target, t) || !target.usable(now) || now.Before(target.ColdUntil) ||
+		target.backoff.avoided(now) {
 		return false
 	}
 	return target.Region == host.Region || p.regionSplit.unlimited(now) || p.overflow.allowsCrossRegion(now)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -11,7 +11,9 @@
 //
 // The files: choice finds the target of a request, queue orders the waiting requests, assigner assigns objects to their
 // hosts, room finds the targets with room for them, hosts selects hosts by hash for requests whose host is not known,
-// chance estimates how likely those are warm, ratelimit keeps to the limits that targets name, balancer moves objects away from overloaded targets, overflow finds a
+// chance estimates how likely those are warm, gate
+// decides whether a request may be sent to a target now, ratelimit keeps to the limits that targets name, backoff to the
+// times for which they want no requests, balancer moves objects away from overloaded targets, overflow finds a
 // target for requests whose host is full, crowd estimates the load by other instances' requests, spread limits how fast
 // the shares of requests that go to each region change, target holds the state of one target.
 package placer
@@ -34,7 +36,7 @@
 	// noTargetRetry is the time after which a caller is asked to retry when a service has no target for it: about as
 	// long as a target takes to announce itself.
 	noTargetRetry = time.Second
-	// limitedRetry is the same where the limits of all its targets leave no room.
+	// limitedRetry is the least such time where the limits and backoffs of all its targets leave no room.
 	limitedRetry = time.Second
 )
 
@@ -87,9 +89,11 @@
 	// ResponseTime is the time to the answer, zero if there was none; ExpectedTime is what was expected.
 	ResponseTime time.Duration
 	ExpectedTime time.Duration
-	// Failed is set if there was no useful answer, Unreachable if the target could not be reached.
+	// Failed is set if there was no useful answer, Unreachable if the target could not be reached, Withheld if the request
+	// was not sent.
 	Failed      bool
 	Unreachable bool
+	Withheld    bool
 	// Load is the target's report, if it sent one.
 	Load *messenger.Load
 }
@@ -108,6 +112,11 @@
 	// limited are the targets with a limit; division divides limits, holders if it is nil.
 	limited  []*Target
 	division divider
+	// substitutes chooses for hosts that want no requests, rendezvous if it is nil. departed are targets that left the
+	// control state while something held that they had said; refusals counts the refusals for want of room.
+	substitutes substitute
+	departed    departed
+	refusals    uint64
 	// firstTargetAt is when this instance first had targets; announced holds the names of those that it had within
 	// announcePeriod from then on.
 	firstTargetAt   time.Time
@@ -178,7 +187,7 @@
 	for _, s := range specs {
 		t, ok := old[s.Name]
 		if !ok || t.Incarnation != s.Incarnation {
-			t = newTarget()
+			t = p.departed.take(s)
 			changed = true
 			if !p.firstTargetAt.IsZero() && !p.starting(now) {
 				t.joinedAt = now
@@ -197,6 +206,7 @@
 		slots += float64(s.Slots)
 		regions[s.Region] += float64(s.Slots)
 	}
+	p.departed.add(now, old)
 	slices.SortFunc(p.targets, func(a, b *Target) int { return cmp.Compare(a.Name, b.Name) })
 	p.hosts.reset(p.targets)
 	p.assigner.regionShares = initialShares(p.Region, regions)
@@ -252,8 +262,8 @@
 	}
 	wait := p.expectedWait(now, t)
 	t.queueDeadline = p.queueDeadline(now, t)
-	if until := p.limitedUntil(now, t); until.IsZero() || until.After(t.queueDeadline) {
-		return Decision{Retry: p.retryAt(now, max(until.Sub(now), limitedRetry)), Reason: "limited"}, true
+	if refusal, hopeless := p.refuseHopeless(now, t); hopeless {
+		return refusal, true
 	}
 	if now.Add(wait).After(t.queueDeadline) {
 		return Decision{Retry: p.retryAt(now, wait), Reason: "full"}, true
@@ -304,6 +314,10 @@
 			out = append(out, Placed{t, Decision{Retry: p.retryAt(now, p.expectedWait(now, t)), Reason: "waited"}})
 			continue
 		}
+		if refusal, hopeless := p.refuseHopeless(now, t); hopeless {
+			out = append(out, Placed{t, refusal})
+			continue
+		}
 		rest = append(rest, t)
 	}
 	p.queue = rest
--- a/core/placer/ratelimit.go
+++ b/core/placer/ratelimit.go
@@ -209,22 +209,3 @@
 	}
 	return nil
 }
-
-// limitedUntil returns when the limits of targets leave room for a request, zero if they never do: every target that may
-// take it has a limit of which this instance has no part.
-func (p *Placer) limitedUntil(now time.Time, t *Ticket) time.Time {
-	var earliest time.Time
-	for _, target := range p.targets {
-		if !p.allowed(target, t) {
-			continue
-		}
-		at := target.allowance.nextAt(now)
-		if !at.After(now) && !at.IsZero() {
-			return now
-		}
-		if earliest.IsZero() || !at.IsZero() && at.Before(earliest) {
-			earliest = at
-		}
-	}
-	return earliest
-}
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"chervilrail.example/core/budgeter"
 	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/partitioner"
@@ -37,6 +38,8 @@
 	published   map[string]uint64
 	// loadSamples holds the requests per slot of every target, sampled in the second half of the load.
 	loadSamples []float64
+	backoffs    backoffCounts
+	budgets     map[*instance]*budgeter.Budget
 	// sends lists the requests by window of two seconds and the region they came from.
 	sends map[int]map[string][]sentObject
 }
@@ -121,6 +124,8 @@
 	running int32
 	waiting []func()
 	warm    []string
+	// inNeed is set while the target turns all requests away.
+	inNeed bool
 }
 
 type instance struct {
@@ -150,6 +155,8 @@
 	// nothing from it but answers.
 	assignHosts bool
 	isolated    bool
+	// need is a time in which some targets turn all requests away.
+	need need
 }
 
 type event struct {
@@ -217,6 +224,9 @@
 			specs[i].OwnSlots = ownSlots
 		}
 		e.placer.Update(at, specs, len(r.entries))
+		e.placer.Position = func(target, region string) (int, int) {
+			return partitioner.Position(e.name, target, partitioner.NewMembers(instances), region)
+		}
 		peers := r.instancesIn(e.region)
 		owns := func(object uint64) bool { return ownerOf(object, peers) == e }
 		e.placer.SetOwnership(owns, slices.Index(peers, e), r.world.entries)
@@ -279,6 +289,12 @@
 	if r.world.assignHosts {
 		r.locate(e, k, t)
 	}
+	r.budget(e).RecordRequest(r.now)
+	r.place(e, k, t, arrived)
+}
+
+// place offers a request to the placer of its instance and sends it where that decides.
+func (r *simulation) place(e *instance, k kind, t *Ticket, arrived time.Time) {
 	done := func(d Decision) { r.send(e, k, t, d, arrived) }
 	if r.naive {
 		done(Decision{Target: r.pickNaively(e)})
@@ -435,9 +451,15 @@
 		latency = interRegionLatency
 	}
 	sent := r.now
+	r.backoffs.recordSend(r.now.Add(latency), e, target.Name)
 	finish := func(load messenger.Load, ran bool) {
+		rejectedAt := r.now
 		r.after(latency, func() {
 			outcome := Outcome{Load: &load, Failed: !ran}
+			if !ran && r.world.need.asked > 0 {
+				r.recordBackoff(e, target, rejectedAt)
+				outcome.Load = nil
+			}
 			perSlot := float64(max(0, load.Running+load.Waiting-1)) / float64(load.Slots)
 			r.regionLoads[e.region].Record(r.now, []gauger.Reading{
 				{Target: gauger.Key(target.Name), PerSlot: perSlot},
@@ -449,6 +471,9 @@
 			for _, placed := range e.placer.Done(r.now, target, outcome) {
 				placed.Ticket.Decided <- placed.Decision
 			}
+			if !ran && r.retry(e, k, t, target.Name, arrived) {
+				return
+			}
 			r.count(k, arrived, ran)
 		})
 	}
@@ -469,6 +494,10 @@
 
 // receive runs a request, queues it while all slots are in use, or rejects it if the queue is full.
 func (w *simulatedTarget) receive(r *simulation, k kind, key string, finish func(messenger.Load, bool)) {
+	if w.inNeed {
+		finish(w.load(), false)
+		return
+	}
 	if w.running >= w.spec.Slots {
 		if len(w.waiting) >= targetQueue {
 			finish(w.load(), false)
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -79,6 +79,7 @@
 	// joinedAt is when it joined the other targets, zero if it was there from the start.
 	joinedAt  time.Time
 	allowance allowance
+	backoff   backoff
 }
 
 const (
@@ -116,35 +117,6 @@
 // connection, and objects that leave because of it run cold elsewhere.
 const downAfter = 2
 
-// readyAt is when the target became able to keep objects warm, zero if it could from the start.
-func (t *Target) readyAt() time.Time {
-	latest := t.joinedAt
-	for _, at := range []time.Time{t.ColdUntil, t.allowance.endedAt} {
-		if at.After(latest) {
-			latest = at
-		}
-	}
-	return latest
-}
-
-// down reports whether the target's objects have to go elsewhere: it can't be reached, has lost its warm objects, or has
-// named a limit far below what they need.
-func (t *Target) down(now time.Time) bool {
-	return now.Before(t.ColdUntil) || t.allowance.scarce || t.failures >= downAfter && now.Before(t.ejectedUntil)
-}
-
-// usable reports whether requests may be sent to the target now.
-func (t *Target) usable(now time.Time) bool {
-	if now.Before(t.ejectedUntil) || !t.allowance.allows(now) {
-		return false
-	}
-	if !now.Before(t.ColdUntil) {
-		return true
-	}
-	// A cold target crashes when it gets much more than its rate.
-	return t.OwnSlots > 0 && float64(len(t.recentSends(now)))+1 <= t.Rate
-}
-
 // recentSends returns the times of the requests sent within coldWindow, and drops the older ones.
 func (t *Target) recentSends(now time.Time) []time.Time {
 	for len(t.coldSends) > 0 && now.Sub(t.coldSends[0]) >= coldWindow {
@@ -183,6 +155,10 @@
 		t.othersAt = now
 	}
 	t.running--
+	if o.Withheld {
+		return
+	}
+	t.backoff.recordOutcome(now, o, t.Slots)
 	failed := 0.0
 	if o.Failed {
 		failed = 1
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -5,13 +5,10 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
-	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
@@ -26,6 +23,8 @@
 const (
 	// answered: a complete answer was received that may be forwarded to the caller.
 	answered attemptState = iota
+	// withdrawn: nothing of the request left this instance, because the decision for the target no longer held.
+	withdrawn
 	// unsent: nothing of the request left this instance.
 	unsent
 	// notExecuted: the target reported that it did not execute the request.
@@ -57,6 +56,9 @@
 		if state == answered {
 			return out, answered
 		}
+		if state == withdrawn {
+			continue
+		}
 		tried = append(tried, decision.Spec.Name)
 		// The least certain attempt decides what is reported: if one attempt may have been executed, a later one that
 		// was not does not change that.
@@ -131,7 +133,7 @@
 		if !j.route.GetIdempotent() || c.Quarantine.Losses(now, j.fingerprint) > maxLossesForRetry {
 			return false
 		}
-	case notExecuted, answered:
+	case notExecuted, answered, withdrawn:
 	}
 	return j.sends < int(max(1, j.route.GetAttempts())) && svc.spendRetry(now, j.view.InstanceCount)
 }
@@ -151,7 +153,11 @@
 	warm, cold := c.routes.expected(j.route)
 	running := c.overdue.begin(start, target.Name, warm, cold)
 	defer c.overdue.end(running)
-	answer, sendOutcome, err := c.Sender.Send(ctx, target.Address, c.outgoing(j, target, start))
+	answer, sendOutcome, err := c.Sender.Send(ctx, target.Address, c.outgoing(j, svc, decision, start))
+	if withheld := (*pooler.WithheldError)(nil); errors.As(err, &withheld) {
+		c.recordWithheld(j, svc, decision, withheld)
+		return result{}, withdrawn
+	}
 	if sendOutcome != pooler.Unsent {
 		j.sends++
 	}
@@ -162,11 +168,7 @@
 	out, state := c.classify(j, answer, reply, sendOutcome)
 	outcome := placer.Outcome{Failed: state != answered}
 	if sendOutcome == pooler.Answered {
-		c.recordReply(j, decision, answer.Status, reply)
-		outcome.Load = reply.Load
-		j.load, j.limit = reply.Load, reply.Limit
-		c.recordLimit(j, svc, decision, start, reply)
-		c.observe(target, outcome.Load)
+		outcome.Load = c.recordReply(j, svc, decision, start, answer.Status, reply)
 	}
 	if state == answered {
 		outcome.ResponseTime = time.Since(start)
@@ -188,60 +190,6 @@
 	return out, state
 }
 
-// recordReply logs and counts an answer by which a target turns a request away or says something of itself that changes
-// what it should get.
-func (c *Carrier) recordReply(j *job, decision placer.Decision, status int, reply messenger.Reply) {
-	if reply.Unrun {
-		c.Metrics.rejections.WithLabelValues(j.service, strconv.Itoa(status)).Inc()
-	}
-	if !reply.Unrun && reply.RetryAt.IsZero() && !reply.Leaving && len(reply.Malformed) == 0 {
-		return
-	}
-	var backoff time.Duration
-	if !reply.RetryAt.IsZero() {
-		backoff = time.Until(reply.RetryAt)
-	}
-	_ = level.Info(c.Logger).Log("msg", "answer of target", "id", j.call.ID, "target", decision.Spec.Name,
-		"incarnation", decision.Spec.Incarnation, "way", decision.Reason, "status", status, "unrun", reply.Unrun,
-		"backoff", backoff, "leaving", reply.Leaving, "load", reply.Load, "malformed", strings.Join(reply.Malformed, ","))
-}
-
-// observe reports the load that a target sent with its answer, if the report is usable.
-func (c *Carrier) observe(target *placer.Spec, l *messenger.Load) {
-	if load, ok := l.PerSlot(); ok {
-		c.Views.Observe(gauger.Reading{Target: gauger.Key(target.Name), PerSlot: load})
-	}
-}
-
-// recordLimit records what a target's answer says of its limit, and reports a change to all instances. That the target
-// rejected the request without a limit says nothing of one that it named before.
-func (c *Carrier) recordLimit(
-	j *job, svc *serviceState, decision placer.Decision, sent time.Time, reply messenger.Reply,
-) {
-	if reply.Limit == nil && (!reply.Signed || reply.Unrun) {
-		return
-	}
-	limit, changed := svc.recordLimit(time.Now(), sent, decision.Target, reply.Limit)
-	if !changed {
-		return
-	}
-	target := &decision.Spec
-	c.Metrics.limits.WithLabelValues(j.service, formatYes(limit.Named)).Inc()
-	_ = level.Info(c.Logger).Log("msg", "target names limit", "id", j.call.ID, "target", target.Name, "named", limit.Named,
-		"rate", limit.Rate, "version", limit.Version)
-	c.Views.ReportRateLimit(&wire.RateLimit{
-		Target: target.Name, Incarnation: target.Incarnation, Service: j.service,
-		Named: limit.Named, Rate: limit.Rate, Version: limit.Version,
-	})
-}
-
-func formatYes(yes bool) string {
-	if yes {
-		return "yes"
-	}
-	return "no"
-}
-
 // context returns the context of an attempt, which ends answerMargin after the request's deadline. An idempotent
 // request is cancelled when its caller disconnects; any other continues, because cancelling it halfway would leave the
 // caller uncertain whether, for example, a booking was made.
@@ -253,7 +201,8 @@
 	return context.WithDeadline(ctx, j.deadline.Add(answerMargin))
 }
 
-func (c *Carrier) outgoing(j *job, target *placer.Spec, now time.Time) *pooler.Request {
+func (c *Carrier) outgoing(j *job, svc *serviceState, decision placer.Decision, now time.Time) *pooler.Request {
+	target := &decision.Spec
 	header := j.request.Header.Clone()
 	messenger.RemoveHopHeaders(header)
 	header.Del("Content-Length")
@@ -261,12 +210,13 @@
 		Target: target.Name, Organisation: j.organisation.GetName(), Deadline: j.deadline,
 	}, now)
 	return &pooler.Request{
-		Method:  j.request.Method,
-		Path:    j.path(),
-		Host:    j.request.Host,
-		Header:  header,
-		Body:    j.body,
-		Matches: func(h http.Header) bool { return c.Codec.Reply(http.StatusOK, h, now).ID == j.call.ID },
+		Method:   j.request.Method,
+		Path:     j.path(),
+		Host:     j.request.Host,
+		Header:   header,
+		Body:     j.body,
+		Withhold: func() string { return svc.withhold(decision.Target) },
+		Matches:  func(h http.Header) bool { return c.Codec.Reply(http.StatusOK, h, now).ID == j.call.ID },
 	}
 }
 
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -36,6 +36,8 @@
 	outcome pooler.Outcome
 	// hang blocks the attempt until its context ends.
 	hang bool
+	// connecting is called while the attempt waits for a connection.
+	connecting func()
 }
 
 func signedAnswer(status int) scriptedAttempt {
@@ -63,6 +65,12 @@
 	s.sent = append(s.sent, r)
 	attempt := s.attempts[min(len(s.sent), len(s.attempts))-1]
 	s.mu.Unlock()
+	if attempt.connecting != nil {
+		attempt.connecting()
+	}
+	if reason := r.Withhold(); reason != "" {
+		return nil, pooler.Unsent, &pooler.WithheldError{Reason: reason}
+	}
 	if attempt.hang {
 		<-ctx.Done()
 		s.mu.Lock()
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -193,6 +193,20 @@
 	return g.placement.RecordLimit(now, sent, t, named)
 }
 
+// recordBackoff records until when a target wants no requests, and reports whether that is longer than known before.
+func (g *serviceState) recordBackoff(now time.Time, t *placer.Target, until time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placement.RecordBackoff(now, t, until)
+}
+
+// withhold reports why a request that was decided for a target must not be sent there any more, empty if it may.
+func (g *serviceState) withhold(t *placer.Target) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placement.Withhold(time.Now(), t)
+}
+
 // assign returns the place of an object that this instance assigns.
 func (g *serviceState) assign(now time.Time, ask placer.AssignRequest) placer.Assignment {
 	g.mu.Lock()
--- a/entry/internal/carrier/metrics.go
+++ b/entry/internal/carrier/metrics.go
@@ -21,6 +21,7 @@
 	undelivered   *prometheus.CounterVec
 	limits        *prometheus.CounterVec
 	rejections    *prometheus.CounterVec
+	backoffs      *prometheus.CounterVec
 	// organisations counts requests by organisation; labelled are the organisations with a label of their own.
 	organisations *prometheus.CounterVec
 	labelled      atomic.Pointer[map[string]bool]
@@ -62,12 +63,16 @@
 		Namespace: "chervilrail_entry", Name: "target_rejections_total",
 		Help: "Attempts that a target reported not to have run, by service and the status of its answer.",
 	}, []string{"service", "status"})
+	m.backoffs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "chervilrail_entry", Name: "target_backoffs_total",
+		Help: "Times for which a target wanted no requests of this instance, by service.",
+	}, []string{"service"})
 	m.organisations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "chervilrail_entry", Name: "organisation_requests_total",
 		Help: "Requests by organisation and status; the largest organisations by name, the rest as others.",
 	}, []string{"organisation", "status"})
 	r.MustRegister(m.requests, m.duration, m.queueDuration, m.placed, m.undelivered, m.limits, m.rejections,
-		m.organisations)
+		m.backoffs, m.organisations)
 	return m
 }
 
--- /dev/null
+++ b/entry/internal/carrier/replies_test.go
@@ -0,0 +1,73 @@
+package carrier
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/placer"
+	"chervilrail.example/entry/internal/pooler"
+	"chervilrail.example/entry/internal/watcher"
+	"chervilrail.example/platform/translator"
+)
+
+// target returns the name of the target that a request was addressed to.
+func target(r *pooler.Request) string { return r.Header.Get(translator.HeaderTarget) }
+
+// Guards against a target that asks for no requests and gets the next ones, and against a caller who is not served by
+// another target instead.
+func TestTargetThatTurnsRequestsAwayGetsNoMore(t *testing.T) {
+	is := is.New(t)
+	away := notExecutedAnswer(http.StatusServiceUnavailable)
+	away.header.Set(translator.HeaderRetryAfter, "3")
+	c, s := startCarrier(t, away, signedAnswer(http.StatusOK))
+	for range 20 {
+		is.Equal(sendRequest(c, http.MethodPost, "/once/1").Code, http.StatusOK)
+	}
+	is.Equal(len(s.sent), 21)
+	for _, r := range s.sent[1:] {
+		is.True(target(r) != target(s.sent[0]))
+	}
+}
+
+// Guards against requests that wait until their deadline though all targets are known to want none for longer.
+func TestRequestsAreRefusedWithTheTimeAtWhichTargetsTakeSome(t *testing.T) {
+	is := is.New(t)
+	away := notExecutedAnswer(http.StatusServiceUnavailable)
+	away.header.Set(translator.HeaderRetryAfter, "30")
+	c, s := startCarrier(t, away)
+	for range 3 {
+		sendRequest(c, http.MethodPost, "/once/1")
+	}
+	is.Equal(len(s.sent), 3) // one at each target
+	w := sendRequest(c, http.MethodPost, "/once/1")
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.True(w.Header().Get("Retry-After") >= "29")
+	is.Equal(len(s.sent), 3)
+}
+
+// Guards against a request that is sent by an old decision: its target left the control state while the request waited
+// for a connection.
+func TestRequestsAreNotSentByAnOldDecision(t *testing.T) {
+	is := is.New(t)
+	var c *Carrier
+	var s *fakeSender
+	left := signedAnswer(http.StatusOK)
+	left.connecting = func() {
+		view := *c.Views.View()
+		var specs []placer.Spec
+		for _, spec := range view.Targets["listings"] {
+			if spec.Name != target(s.sent[0]) {
+				specs = append(specs, spec)
+			}
+		}
+		view.Targets = map[string][]placer.Spec{"listings": specs}
+		c.Views.(*fakeViews).view.Store(&view)
+		c.ApplyView(&watcher.View{Table: view.Table, Targets: view.Targets, InstanceCount: 1})
+	}
+	c, s = startCarrier(t, left, signedAnswer(http.StatusOK))
+	is.Equal(sendRequest(c, http.MethodPost, "/once/1").Code, http.StatusOK)
+	is.Equal(len(s.sent), 2)
+	is.True(target(s.sent[1]) != target(s.sent[0]))
+}
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -57,6 +57,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Withhold is asked just before the request is sent, after a connection was found or opened; unless it returns an
+	// empty text, the request is not sent for that reason. It may be nil.
+	Withhold func() string
 	// Matches reports whether an answer with these headers belongs to this request.
 	Matches func(h http.Header) bool
 }
@@ -97,6 +100,12 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
+	if r.Withhold != nil {
+		if reason := r.Withhold(); reason != "" {
+			p.keep(c)
+			return nil, Unsent, &WithheldError{Reason: reason}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	encoded := encode(r)
 	p.addPending(c, len(encoded))
@@ -147,11 +156,20 @@
 	return c
 }
 
+// put keeps a connection for the next request after an answer.
 func (p *Pooler) put(c *conn, a *Answer) {
-	// The last request's deadline would make the connection look broken to the next request.
-	_ = c.SetDeadline(time.Time{})
 	c.fresh = false
 	c.idleUntil = time.Now().Add(idleTimeout(a.Header))
+	p.keep(c)
+}
+
+// keep adds a connection to the idle ones. One that was just opened is kept for maxIdleTime.
+func (p *Pooler) keep(c *conn) {
+	if c.idleUntil.IsZero() {
+		c.idleUntil = time.Now().Add(maxIdleTime)
+	}
+	// The last request's deadline would make the connection look broken to the next request.
+	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
@@ -273,6 +291,12 @@
 	return a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
 }
 
+// WithheldError reports that a request was not sent because of what its Withhold returned.
+type WithheldError struct{ Reason string }
+
+// Error implements error.
+func (e *WithheldError) Error() string { return "request withheld: " + e.Reason }
+
 // UnexpectedAnswerError reports that only answers to other requests were received on a connection.
 type UnexpectedAnswerError struct{ Address netip.AddrPort }
 
--- a/entry/internal/pooler/pooler_test.go
+++ b/entry/internal/pooler/pooler_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -94,6 +95,25 @@
 	is.Equal(target.accepted.Load(), int32(1))
 }
 
+// Guards against a request that is sent although what was decided for its target no longer holds, and against a
+// connection that is lost with it: each new one costs the target.
+func TestWithheldRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, func(c net.Conn, _ int) { write(c, completeAnswer) })
+	p := &Pooler{}
+	defer p.Close()
+	withheld := request("hello")
+	withheld.Withhold = func() string { return "backoff" }
+	_, outcome, err := p.Send(context.Background(), target.address, withheld)
+	is.Equal(outcome, Unsent)
+	var reason *WithheldError
+	is.True(errors.As(err, &reason) && reason.Reason == "backoff")
+	_, outcome = send(t, p, target)
+	is.Equal(outcome, Answered)
+	is.Equal(target.read.Load(), int32(1))
+	is.Equal(target.accepted.Load(), int32(1))
+}
+
 // The target fails in each way that was observed of broken targets. None may look like a complete answer: the caller
 // would take a partial answer, or one to another caller, for its own.
 func TestIncompleteAnswersAreBroken(t *testing.T) {
