--- a/core/placer/backoff.go
+++ b/core/placer/backoff.go
@@ -45,6 +45,9 @@
 // returnAt is until when requests are better sent elsewhere.
 func (b *backoff) returnAt() time.Time { return later(b.resumeAt, b.avoidUntil) }
 
+// holds reports whether the target wants no requests, or few since it last wanted none.
+func (b *backoff) holds(now time.Time) bool { return now.Before(b.returnAt()) || b.window > 0 }
+
 // extend records that a target wants no requests until a time. Of several times the latest holds.
 func (b *backoff) extend(now, until time.Time) bool {
 	until = earlier(until, now.Add(maxBackoff))
@@ -112,10 +115,10 @@
 	return true
 }
 
-// BackoffToReport returns until when a target wants no requests, if other instances should learn of it.
-func (p *Placer) BackoffToReport(now time.Time, t *Target) (until time.Time, report bool) {
+// ReportsBackoff reports whether other instances should learn until when a target wants no requests.
+func (p *Placer) ReportsBackoff(now time.Time, t *Target) bool {
 	b := &t.backoff
-	return b.until, b.until.Sub(now) >= minReportedBackoff && b.until.Sub(b.avoidUntil) >= reportStep
+	return b.until.Sub(now) >= minReportedBackoff && b.until.Sub(b.avoidUntil) >= reportStep
 }
 
 // AvoidUntil records that a target wants no requests of other instances until a time. This instance may still send
@@ -184,15 +187,18 @@
 	return host.backoff.allows(now, host.running)
 }
 
-// chooseSubstitute returns the target of a request whose host wants no requests, or nil. If that holds for other
-// instances only, the request goes to its host where the substitute has no room.
+// chooseSubstitute returns the target of a request whose host wants no requests or has just turned it away, or nil. If
+// the host wants none of other instances only, the request goes there where the substitute has no room.
 func (p *Placer) chooseSubstitute(now time.Time, t *Ticket) *Target {
 	host, ok := p.byName[t.Host]
-	if !ok || !p.allowed(host, t) || host.down(now) || p.awaitsHost(now, t, host) {
+	if !ok || host.down(now) || !host.backoff.holds(now) {
 		return nil
 	}
 	if target := p.substitute().choose(p, now, t, host); target != nil {
 		return target
 	}
+	if !p.allowed(host, t) {
+		return nil
+	}
 	return p.hostWithRoom(now, t, host)
 }
--- a/core/placer/backoff_test.go
+++ b/core/placer/backoff_test.go
@@ -450,6 +450,22 @@
 	}
 }
 
+// Guards against a request that waits until it is late after its host has turned it away, because it may go to fewer
+// targets than the requests that follow it.
+func TestRejectedRequestGoesToTheSubstitute(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(spec("a"), spec("b"))
+	p.byName["b"].running = 1 // room in the queue for an object that is warm there, not for another one
+	first := hostTicket(start)
+	d, _ := p.Offer(start, first)
+	is.Equal(d.Target.Name, "a")
+	p.RecordBackoff(start, d.Target, start.Add(3*time.Second))
+	p.Done(start, d.Target, Outcome{Failed: true})
+	again := hostTicket(start)
+	again.Tried = []string{"a"}
+	is.Equal(sentTo(p, start, again), "b")
+}
+
 // Guards against requests that are refused although a target takes them: what it asked of other instances is advice.
 func TestAdviceOfOthersDoesNotRefuseRequests(t *testing.T) {
 	is := is.New(t)
