Entry instances tell each other that a target wants no requests

Advice is kept: others avoid the target while another one has room.

Instances report a backoff of half a second or more to their controller; controllers pass on only what was reported to them, so that the time left does not grow in turns. The reports of an instance are one structure now.

--- a/controller/internal/exchanger/shared.go
+++ b/controller/internal/exchanger/shared.go
@@ -104,7 +104,7 @@
 	if unpacks {
 		set.packed = x.pack(&wire.WatchResponse{
 			Records: set.changes.Records, Seen: set.changes.Seen, Whole: set.changes.Whole, Losses: set.changes.Losses,
-			Ratelimits: set.changes.RateLimits,
+			Ratelimits: set.changes.RateLimits, Backoffs: set.changes.Backoffs,
 		})
 	}
 	s.after[key] = set
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -101,7 +101,7 @@
 	} else {
 		changes := set.changes
 		out.Records, out.Seen, out.Whole, out.Losses = changes.Records, changes.Seen, changes.Whole, changes.Losses
-		out.Ratelimits = changes.RateLimits
+		out.Ratelimits, out.Backoffs = changes.RateLimits, changes.Backoffs
 	}
 	out.Hosts, out.Hosted = x.gossip.HostsSince(r.GetNode().GetRegion(), hosted), x.gossip.HostsCounter()
 	out.Loads, out.Loaded = x.gossip.LoadsSince(loaded)
@@ -156,7 +156,7 @@
 }
 
 // Tell implements the entry instances' reports: of their own state, of requests lost with a target, of hosts of objects,
-// and of the limits that targets name.
+// and of what targets say of themselves.
 func (x *Exchanger) Tell(
 	_ context.Context, r *connect.Request[wire.TellRequest],
 ) (*connect.Response[wire.TellResponse], error) {
@@ -165,6 +165,7 @@
 		x.gossip.ReportLosses(now, r.Msg.GetLosses(), true)
 		x.gossip.UpdateHosts(r.Msg.GetHosts())
 		x.gossip.UpdateRateLimits(r.Msg.GetRatelimits())
+		x.gossip.UpdateBackoffs(now, r.Msg.GetBackoffs())
 	})
 	return connect.NewResponse(&wire.TellResponse{}), nil
 }
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -41,6 +41,7 @@
 		}
 	}
 	out.Ratelimits = g.rateLimitsBetween(p.acked, out.GetCounter())
+	out.Backoffs = g.backoffsBetween(now, p.acked, out.GetCounter(), true)
 	out.Hosted = g.hosts.counter
 	out.Hosts = g.hosts.since(p.ackedHosts, func(m *hostEntry) bool { return m.local })
 	if p.region == g.Region {
@@ -68,6 +69,7 @@
 	}
 	g.ReportLosses(now, r.GetLosses(), false)
 	g.mergeRateLimits(r.GetRatelimits(), false)
+	g.mergeBackoffs(now, r.GetBackoffs(), false)
 	g.mergeHosts(r.GetHosts(), false)
 	g.loadTable.Record(now, gauger.Decode(r.GetLoads()), false)
 	p := g.peer(r.GetFrom())
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -60,6 +60,7 @@
 	loadTable gauger.LoadTable
 	// rateLimits are the limits that targets have named.
 	rateLimits rateLimits
+	backoffs   backoffs
 	// counter is incremented with every change that watchers or other controllers have to receive.
 	counter uint64
 	marks   Marks
@@ -284,6 +285,7 @@
 	g.init()
 	g.recordInstances(g.instances.expire(now, g.counter), true, false)
 	g.losses = slices.DeleteFunc(g.losses, func(l *loss) bool { return !now.Before(l.expiresAt) })
+	g.backoffs.removeEnded(now)
 	current, overdue := 0, []string{}
 	for name, m := range g.statuses {
 		record, _ := g.targets.Get(name)
@@ -319,6 +321,8 @@
 	Losses []*wire.Loss
 	// RateLimits are the limits of targets that changed.
 	RateLimits []*wire.RateLimit
+	// Backoffs are those of targets that changed.
+	Backoffs []*wire.Backoff
 	// Next is the position that the watcher has reached with these changes; Partial is set if records were left out.
 	Next    Position
 	Partial bool
@@ -326,7 +330,7 @@
 
 // Empty reports whether there are no changes.
 func (n *Changes) Empty() bool {
-	return len(n.Records)+len(n.Seen)+len(n.Losses)+len(n.RateLimits) == 0
+	return len(n.Records)+len(n.Seen)+len(n.Losses)+len(n.RateLimits)+len(n.Backoffs) == 0
 }
 
 // Position is what a watcher has received: the counter of the changes of targets, and that of entry instances.
@@ -350,6 +354,7 @@
 		}
 	}
 	out.RateLimits = g.rateLimitsBetween(p.Records, out.Next.Records)
+	out.Backoffs = g.backoffsBetween(now, p.Records, out.Next.Records, false)
 	out.Seen, out.Whole = g.instances.since(now, p.Instances, upTo)
 	return out
 }
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -44,6 +44,7 @@
 	ReportLoss(l *wire.Loss)
 	ReportHost(h *wire.Host)
 	ReportRateLimit(l *wire.RateLimit)
+	ReportBackoff(target string, incarnation uint64, until time.Time)
 	Observe(r gauger.Reading)
 }
 
@@ -235,6 +236,15 @@
 	}
 }
 
+// UpdateBackoffs records the times for which targets want no requests of some entry instance, as published by the
+// controllers.
+func (c *Carrier) UpdateBackoffs(backoffs []*wire.Backoff) {
+	now := time.Now()
+	for _, svc := range c.allServices() {
+		svc.updateBackoffs(now, backoffs)
+	}
+}
+
 // Assign implements locator.Assigner.
 func (c *Carrier) Assign(now time.Time, service string, ask placer.AssignRequest) placer.Assignment {
 	place, object := c.serviceState(service).assign(now, ask), placer.ObjectHash(ask.Object)
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -112,11 +112,12 @@
 	return v
 }
 
-func (v *fakeViews) View() *watcher.View             { return v.view.Load() }
-func (v *fakeViews) ReportLoss(*wire.Loss)           {}
-func (v *fakeViews) ReportHost(*wire.Host)           {}
-func (v *fakeViews) ReportRateLimit(*wire.RateLimit) {}
-func (v *fakeViews) Observe(gauger.Reading)          {}
+func (v *fakeViews) View() *watcher.View                     { return v.view.Load() }
+func (v *fakeViews) ReportLoss(*wire.Loss)                   {}
+func (v *fakeViews) ReportHost(*wire.Host)                   {}
+func (v *fakeViews) ReportRateLimit(*wire.RateLimit)         {}
+func (v *fakeViews) ReportBackoff(string, uint64, time.Time) {}
+func (v *fakeViews) Observe(gauger.Reading)                  {}
 
 // soleInstance is a Locator for the only entry instance of a region; it assigns no object.
 type soleInstance struct{}
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -193,11 +193,24 @@
 	return g.placement.RecordLimit(now, sent, t, named)
 }
 
-// recordBackoff records until when a target wants no requests, and reports whether that is longer than known before.
-func (g *serviceState) recordBackoff(now time.Time, t *placer.Target, until time.Time) bool {
+// recordBackoff records until when a target wants no requests. It returns whether that is longer than known before, and
+// whether others have to learn of it.
+func (g *serviceState) recordBackoff(now time.Time, t *placer.Target, until time.Time) (extended, report bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.placement.RecordBackoff(now, t, until)
+	if !g.placement.RecordBackoff(now, t, until) {
+		return false, false
+	}
+	return true, g.placement.ReportsBackoff(now, t)
+}
+
+// updateBackoffs records the times for which targets want no requests of other instances.
+func (g *serviceState) updateBackoffs(now time.Time, backoffs []*wire.Backoff) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range backoffs {
+		g.placement.AvoidUntil(now, b.GetTarget(), b.GetIncarnation(), now.Add(time.Duration(b.GetRemaining())))
+	}
 }
 
 // withhold reports why a request that was decided for a target must not be sent there any more, empty if it may.
--- a/entry/internal/carrier/replies.go
+++ b/entry/internal/carrier/replies.go
@@ -51,12 +51,17 @@
 
 // recordBackoff records until when a target wants no requests of this instance.
 func (c *Carrier) recordBackoff(j *job, svc *serviceState, decision placer.Decision, until time.Time) {
-	if !svc.recordBackoff(time.Now(), decision.Target, until) {
+	extended, report := svc.recordBackoff(time.Now(), decision.Target, until)
+	if !extended {
 		return
 	}
+	if report {
+		c.Views.ReportBackoff(decision.Spec.Name, decision.Spec.Incarnation, until)
+	}
 	c.Metrics.backoffs.WithLabelValues(j.service).Inc()
 	_ = level.Info(c.Logger).Log("msg", "target wants no requests", "id", j.call.ID, "target", decision.Spec.Name,
-		"incarnation", decision.Spec.Incarnation, "backoff", time.Until(until))
+		"incarnation", decision.Spec.Incarnation, "backoff", time.Until(until),
+		"reported", report)
 }
 
 // recordWithheld records a request that was not sent because the decision for its target no longer held.
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -76,6 +76,7 @@
 	p.locator.Spender = p.enforcer
 	p.carrier.Locator, p.carrier.Quotas = p.locator, p.enforcer
 	p.watcher.OnView, p.watcher.OnHosts, p.watcher.OnLoads = p.applyView, p.carrier.UpdateHosts, p.carrier.UpdateLoads
+	p.watcher.OnBackoffs = p.carrier.UpdateBackoffs
 	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, serveTime: settings.AnswerMaxAge, logger: p.logger}
 	return p
 }
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -56,6 +56,9 @@
 	if len(r.GetLoads().GetTargets()) > 0 {
 		w.OnLoads(gauger.Decode(r.GetLoads()))
 	}
+	if len(r.GetBackoffs()) > 0 {
+		w.OnBackoffs(r.GetBackoffs())
+	}
 	s.unpublished = s.unpublished || stale
 	// Objects placed by the first part of the targets would move again with the next.
 	incomplete := r.GetPartial() && w.View() == nil
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -55,6 +55,8 @@
 	OnHosts func(hosts []*wire.Host)
 	// OnLoads receives the loads of targets, as measured by all instances of the region.
 	OnLoads func(loads []gauger.Reading)
+	// OnBackoffs receives the times for which targets want no requests of some entry instance.
+	OnBackoffs func(backoffs []*wire.Backoff)
 	// OnView is called with every new view, by the goroutine that owns the control state.
 	OnView func(v *View)
 
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/gauger"
@@ -62,6 +63,17 @@
 	return out
 }
 
+// reported returns the content of all reports together.
+func (c *controller) reported() *wire.TellRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := &wire.TellRequest{}
+	for _, r := range c.reports {
+		proto.Merge(out, r)
+	}
+	return out
+}
+
 func (c *controller) Watch(
 	_ context.Context, r *connect.Request[wire.WatchRequest],
 ) (*connect.Response[wire.WatchResponse], error) {
