A target that says in its answers that it leaves gets nothing more

Cause: nothing read Server-Leaving. Ruled out: announcements that come late; the target of the test announces nothing.

Change: an answer of any kind with the mark takes the target out of use at this instance at once, for its incarnation, also if it leaves the control state for a moment and comes back; waiting requests go elsewhere, its objects get other hosts, requests that it has not received are cancelled. The instance tells the controllers, which treat it as an announced leave; an answer from before a restart does not make the new start leave.

--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-kit/log/level"
 
 	"chervilrail.example/controller/internal/counter"
 	"chervilrail.example/core/gossiper"
@@ -166,10 +167,21 @@
 		x.gossip.UpdateHosts(r.Msg.GetHosts())
 		x.gossip.UpdateRateLimits(r.Msg.GetRatelimits())
 		x.gossip.UpdateBackoffs(now, r.Msg.GetBackoffs())
+		x.reportLeaves(now, r.Msg)
 	})
 	return connect.NewResponse(&wire.TellResponse{}), nil
 }
 
+// reportLeaves records the targets that said to an entry instance that they leave. The caller holds the lock.
+func (x *Exchanger) reportLeaves(now time.Time, r *wire.TellRequest) {
+	for _, l := range r.GetLeaves() {
+		if x.gossip.ReportLeave(now, l.GetTarget(), l.GetIncarnation()) {
+			_ = level.Info(x.Logger).Log("msg", "target leaves", "target", l.GetTarget(), "incarnation", l.GetIncarnation(),
+				"from", r.GetNode().GetName())
+		}
+	}
+}
+
 // EntryInstances returns the entry instances that any reachable controller has recently observed.
 func (x *Exchanger) EntryInstances() []*wire.Seen {
 	x.mu.Lock()
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -260,6 +260,23 @@
 	g.marks.Outgoing = g.counter
 }
 
+// ReportLeave records that an incarnation of a target has said in an answer that it leaves, as if the target had announced
+// it here. It reports whether that was not known.
+func (g *Gossiper) ReportLeave(now time.Time, target string, incarnation uint64) bool {
+	record, known := g.targets.Get(target)
+	if !known || record.GetIncarnation() != incarnation || g.hasLeft(target) {
+		return false
+	}
+	leaving := proto.CloneOf(record)
+	leaving.State = wire.TargetState_TARGET_LEAVING
+	if !g.targets.Merge(now, leaving) {
+		return false
+	}
+	g.status(target).relayUntil = now.Add(relayTime)
+	g.recordChange(now, target)
+	return true
+}
+
 // ReportLosses merges reports of requests that were in flight when a target died.
 func (g *Gossiper) ReportLosses(now time.Time, reports []*wire.Loss, direct bool) {
 	for _, r := range reports {
--- a/core/placer/backoff.go
+++ b/core/placer/backoff.go
@@ -95,14 +95,8 @@
 // RecordBackoff records that a target has turned a request away and wants none until a time. It reports whether that is
 // longer than known before.
 func (p *Placer) RecordBackoff(now time.Time, t *Target, until time.Time) bool {
-	current, listed := p.byName[t.Name]
-	if listed && current.Incarnation != t.Incarnation {
-		return false
-	}
-	if listed {
-		t = current
-	}
-	if !t.backoff.extend(now, until) {
+	t, listed := p.current(t)
+	if t == nil || !t.backoff.extend(now, until) {
 		return false
 	}
 	if !listed {
--- a/core/placer/gate.go
+++ b/core/placer/gate.go
@@ -5,7 +5,7 @@
 // usable reports whether one more request may be sent to the target now. Every way to a target asks it: choice, host,
 // overflow, repeats, and requests that look whether a limit has ended.
 func (t *Target) usable(now time.Time) bool {
-	if now.Before(t.ejectedUntil) || !t.allowance.allows(now) || !t.backoff.allows(now, t.running) {
+	if t.leaving || now.Before(t.ejectedUntil) || !t.allowance.allows(now) || !t.backoff.allows(now, t.running) {
 		return false
 	}
 	if !now.Before(t.ColdUntil) {
@@ -17,6 +17,9 @@
 
 // usableAt is when the target may take this instance's next request, zero if it is not known to take any.
 func (t *Target) usableAt(now time.Time) time.Time {
+	if t.leaving {
+		return time.Time{}
+	}
 	at := t.allowance.nextAt(now)
 	if at.IsZero() || at.After(t.backoff.resumeAt) {
 		return at
@@ -25,13 +28,13 @@
 }
 
 // down reports whether the target's objects have to go elsewhere: it can't be reached, has lost its warm objects, or
-// takes far less than they need.
+// takes far less than they need, or leaves.
 func (t *Target) down(now time.Time) bool {
-	return now.Before(t.ColdUntil) || t.allowance.scarce || t.failures >= downAfter && now.Before(t.ejectedUntil)
+	return t.leaving || now.Before(t.ColdUntil) || t.allowance.scarce || t.failures >= downAfter && now.Before(t.ejectedUntil)
 }
 
 // binds reports whether something holds that the target said in its answers.
-func (t *Target) binds(now time.Time) bool { return now.Before(t.backoff.resumeAt) }
+func (t *Target) binds(now time.Time) bool { return t.leaving || now.Before(t.backoff.resumeAt) }
 
 // readyAt is when the target became able to keep objects warm, zero if it could from the start.
 func (t *Target) readyAt() time.Time {
@@ -50,12 +53,42 @@
 	switch {
 	case p.byName[t.Name] != t:
 		return "withdrawn"
+	case t.leaving:
+		return "leaving"
 	case now.Before(t.backoff.until):
 		return "backoff"
 	}
 	return ""
 }
 
+// current returns the target that a request was sent to as it is known now, and whether it is in the control state. It
+// returns nil if the target has started again since, so that what the answer says does not hold any more.
+func (p *Placer) current(t *Target) (current *Target, listed bool) {
+	current, listed = p.byName[t.Name]
+	switch {
+	case !listed:
+		return t, false
+	case current.Incarnation != t.Incarnation:
+		return nil, true
+	}
+	return current, true
+}
+
+// RecordLeaving records that a target has said that it leaves, and reports whether that was not known.
+func (p *Placer) RecordLeaving(now time.Time, t *Target) bool {
+	t, listed := p.current(t)
+	if t == nil || t.leaving {
+		return false
+	}
+	t.leaving = true
+	if !listed {
+		p.departed.add(now, map[string]*Target{t.Name: t})
+		return true
+	}
+	p.regionSplit.liftLimit(now)
+	return true
+}
+
 // roomAt returns when a target may take a request, as far as limits and backoffs say, zero if they do not: every target
 // that may take it has a limit of which this instance has no part.
 func (p *Placer) roomAt(now time.Time, t *Ticket) time.Time {
--- a/core/placer/replay_test.go
+++ b/core/placer/replay_test.go
@@ -126,6 +126,8 @@
 	warm    []string
 	// inNeed is set while the target turns all requests away.
 	inNeed bool
+	// leaving is set while all answers of the target say that it leaves.
+	leaving bool
 }
 
 type instance struct {
@@ -157,6 +159,8 @@
 	isolated    bool
 	// need is a time in which some targets turn all requests away.
 	need need
+	// leavesTold is set if an instance that learns from an answer that a target leaves tells the others.
+	leavesTold bool
 }
 
 type event struct {
@@ -456,6 +460,9 @@
 		rejectedAt := r.now
 		r.after(latency, func() {
 			outcome := Outcome{Load: &load, Failed: !ran}
+			if w.leaving {
+				r.recordLeaving(e, target)
+			}
 			if !ran && r.world.need.asked > 0 {
 				r.recordBackoff(e, target, rejectedAt)
 				outcome.Load = nil
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -80,6 +80,8 @@
 	joinedAt  time.Time
 	allowance allowance
 	backoff   backoff
+	// leaving is set once it has said in an answer that it leaves, which is final for an incarnation.
+	leaving bool
 }
 
 const (
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -45,6 +45,7 @@
 	ReportHost(h *wire.Host)
 	ReportRateLimit(l *wire.RateLimit)
 	ReportBackoff(target string, incarnation uint64, until time.Time)
+	ReportLeave(target string, incarnation uint64)
 	Observe(r gauger.Reading)
 }
 
--- a/entry/internal/carrier/carrier_test.go
+++ b/entry/internal/carrier/carrier_test.go
@@ -117,6 +117,7 @@
 func (v *fakeViews) ReportHost(*wire.Host)                   {}
 func (v *fakeViews) ReportRateLimit(*wire.RateLimit)         {}
 func (v *fakeViews) ReportBackoff(string, uint64, time.Time) {}
+func (v *fakeViews) ReportLeave(string, uint64)              {}
 func (v *fakeViews) Observe(gauger.Reading)                  {}
 
 // soleInstance is a Locator for the only entry instance of a region; it assigns no object.
--- a/entry/internal/carrier/gate.go
+++ b/entry/internal/carrier/gate.go
@@ -204,6 +204,13 @@
 	return true, g.placement.ReportsBackoff(now, t)
 }
 
+// recordLeaving records that a target leaves, and reports whether that was not known.
+func (g *serviceState) recordLeaving(now time.Time, t *placer.Target) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placement.RecordLeaving(now, t)
+}
+
 // updateBackoffs records the times for which targets want no requests of other instances.
 func (g *serviceState) updateBackoffs(now time.Time, backoffs []*wire.Backoff) {
 	g.mu.Lock()
--- a/entry/internal/carrier/metrics.go
+++ b/entry/internal/carrier/metrics.go
@@ -22,6 +22,7 @@
 	limits        *prometheus.CounterVec
 	rejections    *prometheus.CounterVec
 	backoffs      *prometheus.CounterVec
+	leaves        *prometheus.CounterVec
 	// organisations counts requests by organisation; labelled are the organisations with a label of their own.
 	organisations *prometheus.CounterVec
 	labelled      atomic.Pointer[map[string]bool]
@@ -67,12 +68,16 @@
 		Namespace: "chervilrail_entry", Name: "target_backoffs_total",
 		Help: "Times for which a target wanted no requests of this instance, by service.",
 	}, []string{"service"})
+	m.leaves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "chervilrail_entry", Name: "target_leaves_total",
+		Help: "Targets that said in an answer to this instance that they leave, by service.",
+	}, []string{"service"})
 	m.organisations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "chervilrail_entry", Name: "organisation_requests_total",
 		Help: "Requests by organisation and status; the largest organisations by name, the rest as others.",
 	}, []string{"organisation", "status"})
 	r.MustRegister(m.requests, m.duration, m.queueDuration, m.placed, m.undelivered, m.limits, m.rejections,
-		m.backoffs, m.organisations)
+		m.backoffs, m.leaves, m.organisations)
 	return m
 }
 
--- a/entry/internal/carrier/replies.go
+++ b/entry/internal/carrier/replies.go
@@ -21,6 +21,9 @@
 ) *messenger.Load {
 	j.load, j.limit = reply.Load, reply.Limit
 	c.logReply(j, decision, status, reply)
+	if reply.Leaving {
+		c.recordLeaving(j, svc, decision)
+	}
 	c.recordLimit(j, svc, decision, sent, reply)
 	if !reply.RetryAt.IsZero() {
 		c.recordBackoff(j, svc, decision, reply.RetryAt)
@@ -64,6 +67,20 @@
 		"reported", report)
 }
 
+// recordLeaving records that a target leaves. Requests to it that it has not received by then are cancelled, as they are
+// when it announces that it leaves.
+func (c *Carrier) recordLeaving(j *job, svc *serviceState, decision placer.Decision) {
+	now := time.Now()
+	if !svc.recordLeaving(now, decision.Target) {
+		return
+	}
+	c.withdrawals.add(now, []placer.Spec{decision.Spec})
+	c.Views.ReportLeave(decision.Spec.Name, decision.Spec.Incarnation)
+	c.Metrics.leaves.WithLabelValues(j.service).Inc()
+	_ = level.Info(c.Logger).Log("msg", "target says that it leaves", "id", j.call.ID, "target", decision.Spec.Name,
+		"incarnation", decision.Spec.Incarnation)
+}
+
 // recordWithheld records a request that was not sent because the decision for its target no longer held.
 func (c *Carrier) recordWithheld(
 	j *job, svc *serviceState, decision placer.Decision, withheld *pooler.WithheldError,
--- a/entry/internal/carrier/replies_test.go
+++ b/entry/internal/carrier/replies_test.go
@@ -71,3 +71,23 @@
 	is.Equal(len(s.sent), 2)
 	is.True(target(s.sent[1]) != target(s.sent[0]))
 }
+
+// Guards against a target that says that it leaves and gets the next requests, in answers of every kind.
+func TestTargetThatSaysItLeavesGetsNoMore(t *testing.T) {
+	for name, leaving := range map[string]scriptedAttempt{
+		"served": signedAnswer(http.StatusOK), "failed": signedAnswer(http.StatusInternalServerError),
+		"turned away": notExecutedAnswer(http.StatusServiceUnavailable),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			leaving.header.Set(translator.HeaderShortLeaving, "1")
+			c, s := startCarrier(t, leaving, signedAnswer(http.StatusOK))
+			for range 20 {
+				sendRequest(c, http.MethodPost, "/once/1")
+			}
+			for _, r := range s.sent[1:] {
+				is.True(target(r) != target(s.sent[0]))
+			}
+		})
+	}
+}
--- a/entry/internal/watcher/reports.go
+++ b/entry/internal/watcher/reports.go
@@ -17,6 +17,8 @@
 	maxHosts = 4096
 	// maxBackoffs bounds the targets whose backoffs are pending; further ones are not reported.
 	maxBackoffs = 1024
+	// maxLeaves bounds the leaves that are pending; the oldest are dropped.
+	maxLeaves = 1024
 )
 
 // pendingReports holds what this instance has to tell the controllers. The zero value is ready; it is safe for
@@ -32,6 +34,7 @@
 	hosts    []*wire.Host
 	limits   map[string]*wire.RateLimit
 	backoffs map[string]pendingBackoff
+	leaves   []*wire.Leave
 }
 
 // pendingBackoff is until when an incarnation of a target wants no requests of this instance.
@@ -43,7 +46,7 @@
 // request returns the call that reports all.
 func (r *reports) request(now time.Time) *wire.TellRequest {
 	out := &wire.TellRequest{
-		Losses: r.losses, Hosts: r.hosts, Ratelimits: slices.Collect(maps.Values(r.limits)),
+		Losses: r.losses, Hosts: r.hosts, Ratelimits: slices.Collect(maps.Values(r.limits)), Leaves: r.leaves,
 	}
 	for target, b := range r.backoffs {
 		out.Backoffs = append(out.Backoffs, &wire.Backoff{
@@ -53,7 +56,9 @@
 	return out
 }
 
-func (r *reports) count() int { return len(r.losses) + len(r.hosts) + len(r.limits) + len(r.backoffs) }
+func (r *reports) count() int {
+	return len(r.losses) + len(r.hosts) + len(r.limits) + len(r.backoffs) + len(r.leaves)
+}
 
 // take removes and returns all that is pending.
 func (p *pendingReports) take() reports {
@@ -69,6 +74,7 @@
 	p.addLosses(r.losses...)
 	p.addHosts(r.hosts...)
 	p.addLimits(slices.Collect(maps.Values(r.limits))...)
+	p.addLeaves(r.leaves...)
 	for target, b := range r.backoffs {
 		p.addBackoff(target, b)
 	}
@@ -92,6 +98,15 @@
 	}
 }
 
+func (p *pendingReports) addLeaves(leaves ...*wire.Leave) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaves = append(p.leaves, leaves...)
+	if excess := len(p.leaves) - maxLeaves; excess > 0 {
+		p.leaves = p.leaves[excess:]
+	}
+}
+
 // addLimits queues limits; of several of one target the one that supersedes the others is kept.
 func (p *pendingReports) addLimits(limits ...*wire.RateLimit) {
 	p.mu.Lock()
--- a/entry/internal/watcher/reports_test.go
+++ b/entry/internal/watcher/reports_test.go
@@ -13,9 +13,9 @@
 	"chervilrail.example/core/wire"
 )
 
-// Guards against a backoff that a target asked of this instance and no other learns of, and against one that others
+// Guards against a leave or a backoff that a target asked of this instance and no other learns of, and against one that others
 // report and this instance does not hear.
-func TestBackoffsArePassedOn(t *testing.T) {
+func TestWhatTargetsSayIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	avoided := answer(5, 3, true)
 	avoided.Backoffs = []*wire.Backoff{{Target: "t2", Incarnation: 7, Remaining: int64(time.Second)}}
@@ -28,6 +28,7 @@
 	is.NoErr(w.Start(context.Background(), nil))
 	t.Cleanup(func() { is.NoErr(w.Stop(context.Background())) })
 	is.Equal((<-received)[0].GetTarget(), "t2")
+	w.ReportLeave("t3", 4)
 	w.ReportBackoff("t1", 1, time.Now().Add(time.Second))
 	w.ReportBackoff("t1", 2, time.Now().Add(3*time.Second))
 	w.ReportBackoff("t1", 2, time.Now().Add(2*time.Second))
@@ -36,6 +37,7 @@
 	left := time.Duration(reported.GetRemaining())
 	is.Equal(reported.GetIncarnation(), uint64(2))
 	is.True(left > 2*time.Second && left <= 3*time.Second)
+	is.Equal(c.reported().GetLeaves()[0].GetIncarnation(), uint64(4))
 }
 
 // Guards against reports that are lost because one call failed.
@@ -46,11 +48,12 @@
 	p.addHosts(&wire.Host{Target: "t1"})
 	p.addLimits(&wire.RateLimit{Target: "t1", Version: 1})
 	p.addBackoff("t1", pendingBackoff{1, time.Unix(1000, 0)})
+	p.addLeaves(&wire.Leave{Target: "t1"})
 	taken := p.take()
-	is.Equal(taken.count(), 4)
+	is.Equal(taken.count(), 5)
 	is.Equal(p.count(), 0)
 	p.addLimits(&wire.RateLimit{Target: "t1", Version: 2})
 	p.restore(taken)
-	is.Equal(p.count(), 4)
+	is.Equal(p.count(), 5)
 	is.Equal(p.limits["t1"].GetVersion(), uint64(2))
 }
--- a/entry/internal/watcher/teller.go
+++ b/entry/internal/watcher/teller.go
@@ -67,6 +67,12 @@
 	w.reporter.signal()
 }
 
+// ReportLeave queues a report that an incarnation of a target said in an answer that it leaves.
+func (w *Watcher) ReportLeave(target string, incarnation uint64) {
+	w.reporter.pending.addLeaves(&wire.Leave{Target: target, Incarnation: incarnation})
+	w.reporter.signal()
+}
+
 // ReportBackoff queues a report that a target wants no requests of this instance until a time.
 func (w *Watcher) ReportBackoff(target string, incarnation uint64, until time.Time) {
 	w.reporter.pending.addBackoff(target, pendingBackoff{incarnation, until})
