Answers of another target at an address say nothing of the addressed one

After an address has passed to another target, a request is answered 421 by that one, and what the answer said of load and limit (and now of leaving) was recorded for the target that had the address before. Found while listing what targets may say. TestMisdirectedAnswersSayNothingOfTheTarget failed before.

--- a/entry/internal/carrier/replies.go
+++ b/entry/internal/carrier/replies.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,10 @@
 ) *messenger.Load {
 	j.load, j.limit = reply.Load, reply.Limit
 	c.logReply(j, decision, status, reply)
+	if status == http.StatusMisdirectedRequest {
+		// Another target has the address now. What it says of itself is not about this one.
+		return nil
+	}
 	if reply.Leaving {
 		c.recordLeaving(j, svc, decision)
 	}
--- a/entry/internal/carrier/replies_test.go
+++ b/entry/internal/carrier/replies_test.go
@@ -91,3 +91,22 @@
 		})
 	}
 }
+
+// Guards against what another target says of itself being taken for what the addressed one says, after its address was
+// assigned to the other.
+func TestMisdirectedAnswersSayNothingOfTheTarget(t *testing.T) {
+	is := is.New(t)
+	other := scriptedAttempt{status: http.StatusMisdirectedRequest, header: http.Header{
+		translator.HeaderLeaving: {"1"}, translator.HeaderLimit: {"0"}, translator.HeaderLoad: {"9,9,9"},
+	}}
+	c, s := startCarrier(t, other)
+	for range 6 {
+		sendRequest(c, http.MethodPost, "/once/1")
+	}
+	targets := map[string]int{}
+	for _, r := range s.sent {
+		targets[target(r)]++
+	}
+	is.Equal(len(targets), 3)
+	is.True(len(s.sent) > 6) // none of them leaves or has a limit
+}
