--- a/core/placer/backoff_test.go
+++ b/core/placer/backoff_test.go
@@ -466,6 +466,22 @@
 	is.Equal(sentTo(p, start, again), "b")
 }
 
+// Guards against an instance that ends because no target of a region may get objects: all want no requests, and some of
+// them have joined since the objects were assigned.
+func TestObjectsStayWhileAllTargetsWantNone(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(spec("a"))
+	p.SetOwnership(func(uint64) bool { return true }, 0, 1)
+	is.Equal(p.Assign(start, AssignRequest{Object: "o", ColdTime: time.Millisecond}).Target, "a")
+	p.Update(start.Add(time.Second), []Spec{spec("a"), spec("b")}, 1)
+	now := start.Add(2 * time.Second)
+	for _, name := range []string{"a", "b"} {
+		p.RecordBackoff(now, p.byName[name], now.Add(3*time.Second))
+	}
+	is.Equal(len(p.Balance(now)), 0)
+	is.Equal(p.Assign(now, AssignRequest{Object: "new", ColdTime: time.Millisecond}).Target, "")
+}
+
 // Guards against requests that are refused although a target takes them: what it asked of other instances is advice.
 func TestAdviceOfOthersDoesNotRefuseRequests(t *testing.T) {
 	is := is.New(t)
--- a/core/placer/balancer.go
+++ b/core/placer/balancer.go
@@ -168,6 +168,9 @@
 	targets := slices.DeleteFunc(slices.Clone(p.hosts.byRegion[from.Region]), func(t *Target) bool {
 		return !p.eligible(now, t, assigned.lastRequest.Regions) || now.Before(t.backoff.returnAt())
 	})
+	if len(targets) == 0 {
+		return nil
+	}
 	if target := highestWeight(strconv.FormatUint(object, 16), targets); target.readyAt().After(assigned.placedAt) {
 		return target
 	}
