Soak: targets that turn requests away, name limits and leave by their answers

What they say overlaps with all other faults, at one target and at all, in a schedule of its own, so that the faults of a seed stay what they were.

--- a/standin/internal/soaker/checker.go
+++ b/standin/internal/soaker/checker.go
@@ -31,6 +31,7 @@
 	nonRepeatable map[string]bool
 	sent          int
 	complete      int
+	answers       []speaker.Answer
 	// acked is the newest version of the plan whose change was acknowledged.
 	acked int
 	// accepted lists the accepted versions, oldest first.
@@ -73,6 +74,7 @@
 		w.nonRepeatable, w.notRun = map[string]bool{}, map[string]int{}
 	}
 	w.sent++
+	w.answers = append(w.answers, a)
 	if method == http.MethodPost {
 		w.nonRepeatable[a.ID] = true
 	}
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -89,7 +89,7 @@
 // runSchedule starts the faults at their scheduled times and waits until all of them have ended.
 func (s *Soak) runSchedule(ctx context.Context) {
 	start := time.Now()
-	finished := make(chan struct{}, len(kinds)*int(s.Length/minGap))
+	finished := make(chan struct{}, 2*len(kinds)*int(s.Length/minGap))
 	running := 0
 	for _, f := range schedule(s.Seed, s.Length) {
 		time.Sleep(time.Until(start.Add(f.at)))
@@ -124,6 +124,8 @@
 		s.injectLinkFault(f)
 	case evacuation:
 		s.evacuate(ctx, f)
+	case targetReject, targetsRejectAll, targetLimit, targetSaysLeave:
+		s.injectStatement(ctx, f)
 	}
 }
 
@@ -135,6 +137,8 @@
 	}
 	defer s.release(name)
 	p := s.system.Entries[i]
+	s.disturb(i)
+	defer s.disturb(i)
 	switch f.kind {
 	case entryKill:
 		p.Kill()
@@ -200,6 +204,7 @@
 	for i := range entries {
 		if name := fmt.Sprintf("e%d", i); s.reserve(name) {
 			defer s.release(name)
+			s.disturb(i)
 			s.system.Entries[i].Kill()
 			defer func() { s.checkStarted(name, s.system.StartPlatformEntry(i)) }()
 		}
--- a/standin/internal/soaker/schedule.go
+++ b/standin/internal/soaker/schedule.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -30,6 +31,17 @@
 	evacuation        kind = "evacuation"
 )
 
+// The kinds of what targets say in their answers: that they want no requests, one of them or all at once, that they take
+// only some, and that they leave, without an announcement.
+const (
+	targetReject     kind = "target-reject"
+	targetsRejectAll kind = "targets-reject-all"
+	targetLimit      kind = "target-limit"
+	targetSaysLeave  kind = "target-says-leave"
+)
+
+var statements = []kind{targetReject, targetReject, targetsRejectAll, targetLimit, targetSaysLeave}
+
 var kinds = []kind{
 	entryKill, entryStop, entryFreeze, entryReload, controllerKill, controllerFreeze, controllerWipe, controllerKillAll,
 	targetKill, targetLeave, linkReset, linkSilence, linkMute, linkDelay, evacuation,
@@ -48,6 +60,11 @@
 	// minLossInterval is the minimum time between two controller losses. A replacement needs this long to receive the
 	// whole state and become a voter.
 	minLossInterval = 8 * time.Second
+	// The same gap between two statements of targets.
+	statementGap    = 300 * time.Millisecond
+	statementSpread = 1500 * time.Millisecond
+	// limitHold is how long a limit holds beyond the duration of its fault: it counts only after some seconds.
+	limitHold = 7 * time.Second
 )
 
 // fault is one entry of a schedule.
@@ -80,5 +97,24 @@
 		}
 		out = append(out, f)
 	}
+	return slices.SortedStableFunc(slices.Values(slices.Concat(out, scheduleStatements(seed, length))),
+		func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+}
+
+// scheduleStatements generates the statements of targets, from random numbers of their own, so that the other faults of a
+// seed do not depend on them.
+func scheduleStatements(seed uint64, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var out []fault
+	for at := statementGap; at < length; at += statementGap + time.Duration(random.Int64N(int64(statementSpread))) {
+		f := fault{
+			at: at, kind: statements[random.IntN(len(statements))], index: random.IntN(1 << 16),
+			duration: minDuration + time.Duration(random.Int64N(int64(durationSpread))),
+		}
+		if f.kind == targetLimit && at+f.duration+limitHold > length {
+			continue
+		}
+		out = append(out, f)
+	}
 	return out
 }
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -51,7 +51,8 @@
 	// down is set while nothing runs and just before; callers and the operator then send nothing new.
 	down atomic.Bool
 	// reserved contains the processes and zones that are reserved for a running fault.
-	reserved map[string]bool
+	reserved     map[string]bool
+	disturbances disturbances
 }
 
 // Counts returns the number of requests sent, and how many of them received the complete answer of a target.
@@ -87,6 +88,7 @@
 	stopLoad()
 	s.group.Wait()
 	s.checkEnd(ctx)
+	s.checkStatements(s.checker.answers)
 	for _, e := range s.system.Entries {
 		s.checker.checkFirstPlans(filepath.Join(s.Folder, e.Name+".log"))
 	}
--- /dev/null
+++ b/standin/internal/soaker/statements.go
@@ -0,0 +1,115 @@
+package soaker
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"chervilrail.example/platform/speaker"
+	"chervilrail.example/standin/internal/verifier"
+)
+
+const (
+	// allRejectTime is how long all targets turn requests away at once, allRejectAsks what they ask for.
+	allRejectTime = 300 * time.Millisecond
+	allRejectAsks = "0.7"
+	// soakLimit is the limit that targets name, in requests per second.
+	soakLimit = "2"
+	// leaveTime is how long a target that says that it leaves goes on serving before it is gone.
+	leaveTime = 4 * time.Second
+)
+
+// asked are the times for which targets want no requests.
+var asked = []string{"3", "0.2", "1", "8"}
+
+// disturbances are the times at which entry instances were restarted, frozen or thawed, by their address.
+type disturbances struct {
+	mu    sync.Mutex
+	times map[string][]time.Time
+}
+
+func (d *disturbances) record(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.times == nil {
+		d.times = map[string][]time.Time{}
+	}
+	d.times[instance] = append(d.times[instance], time.Now())
+}
+
+// between reports whether an instance was disturbed between two times.
+func (d *disturbances) between(instance string, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, at := range d.times[instance] {
+		if !at.Before(from) && !at.After(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// disturb records a disturbance of entry instance i.
+func (s *Soak) disturb(i int) {
+	s.disturbances.record(strings.TrimPrefix(s.system.CallerURL(i), "http://"))
+}
+
+// injectStatement has a target, or all of them, say something in their answers.
+func (s *Soak) injectStatement(ctx context.Context, f fault) {
+	switch f.kind {
+	case targetReject:
+		t := s.pickTarget(f.index, false)
+		t.Reject(asked[f.index%len(asked)])
+		time.Sleep(f.duration)
+		t.Accept()
+	case targetsRejectAll:
+		for _, t := range s.allTargets() {
+			t.Reject(allRejectAsks)
+			defer t.Accept()
+		}
+		time.Sleep(allRejectTime)
+	case targetLimit:
+		t := s.pickTarget(f.index, false)
+		t.SetLimit(soakLimit)
+		time.Sleep(f.duration + limitHold)
+		t.SetLimit("")
+	default:
+		s.leaveByAnswers(ctx, f)
+	}
+}
+
+// leaveByAnswers makes a target say in its answers that it leaves, and starts another one in its place. Some such targets
+// announce their leave later, the others end without a word.
+func (s *Soak) leaveByAnswers(ctx context.Context, f fault) {
+	t := s.pickTarget(f.index, true)
+	s.checkStarted("target", s.startTarget())
+	t.SetLeaving(true)
+	time.Sleep(leaveTime)
+	if f.index%2 == 0 {
+		leaveCtx, cancel := context.WithTimeout(ctx, recoveryTimeout)
+		defer cancel()
+		if ackedAt, err := t.Leave(leaveCtx); err == nil {
+			s.checker.recordDeparture(t.Target, ackedAt)
+		}
+		return
+	}
+	t.Kill()
+	t.relay.Close()
+}
+
+// checkStatements checks that entry instances did as targets asked in their answers.
+func (s *Soak) checkStatements(answers []speaker.Answer) {
+	seen := &verifier.Observations{Excused: s.disturbances.between}
+	for _, a := range answers {
+		seen.AddAnswer(a)
+	}
+	for _, t := range s.allTargets() {
+		seen.AddTarget(t.Target)
+	}
+	for _, check := range []func() []string{seen.Backoffs, seen.Leaves, seen.Limits} {
+		for _, line := range check() {
+			s.checker.fail("%s", line)
+		}
+	}
+}
--- a/standin/internal/verifier/verifier.go
+++ b/standin/internal/verifier/verifier.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"chervilrail.example/platform/speaker"
@@ -19,6 +20,15 @@
 	drainLimit = 2500 * time.Millisecond
 )
 
+// The bound on a target's limit: from limitTime after the target first named it, any limitWindow may hold limitExcess
+// times what the limit allows, and limitSlack more.
+const (
+	limitTime   = 4 * time.Second
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+)
+
 // Observations are what callers and targets have observed. Fill them, then call the checks.
 type Observations struct {
 	// Excused reports whether an entry instance was restarted or frozen between two times; nil if none was.
@@ -102,7 +112,9 @@
 	for target := range o.arrivals {
 		for instance, arrivals := range o.bySender(target) {
 			late := 0
-			learned := o.learned(arrivals)
+			learned := o.passedOn(arrivals, func(a speaker.Arrival, answer speaker.Answer) bool {
+				return a.Leaving && answer.Leaving
+			})
 			for _, a := range arrivals {
 				sent := o.answers[a.ID].SentAt
 				if !learned.IsZero() && sent.Sub(learned) > drainLimit && !o.excused(instance, learned, a.At) {
@@ -118,14 +130,87 @@
 	return out
 }
 
-// learned returns when the first answer that said that the target leaves was passed on to a caller; zero if none was.
-func (o *Observations) learned(arrivals []speaker.Arrival) time.Time {
+// passedOn returns when the first answer that tells something was passed on to a caller; zero if none was.
+func (o *Observations) passedOn(
+	arrivals []speaker.Arrival, tells func(a speaker.Arrival, answer speaker.Answer) bool,
+) time.Time {
 	var first time.Time
 	for _, a := range arrivals {
 		answer := o.answers[a.ID]
-		if a.Leaving && answer.Leaving && (first.IsZero() || answer.AnsweredAt.Before(first)) {
+		if tells(a, answer) && (first.IsZero() || answer.AnsweredAt.Before(first)) {
 			first = answer.AnsweredAt
 		}
 	}
 	return first
 }
+
+// Limits returns a line for each target that got more than its limit allows from the instances that had passed the limit
+// on. It expects limits that do not change while they hold.
+func (o *Observations) Limits() []string {
+	var out []string
+	for target, arrivals := range o.arrivals {
+		for _, named := range limitedPeriods(arrivals) {
+			counted := o.countedAgainstLimit(target, named)
+			allowed := limitExcess**named[0].Limit*limitWindow.Seconds() + limitSlack
+			if most := mostInWindow(counted); float64(most) > allowed {
+				out = append(out, fmt.Sprintf("%s got %d requests in %s, allowed %.0f", target, most, limitWindow, allowed))
+			}
+		}
+	}
+	return out
+}
+
+// limitedPeriods returns the arrivals of each period in which all answers named a limit. Those that were turned away
+// belong to the period that they fall into.
+func limitedPeriods(arrivals []speaker.Arrival) [][]speaker.Arrival {
+	var out [][]speaker.Arrival
+	var period []speaker.Arrival
+	for _, a := range arrivals {
+		switch {
+		case a.Limit != nil, a.Rejected && len(period) > 0:
+			period = append(period, a)
+		case len(period) > 0:
+			out = append(out, period)
+			period = nil
+		}
+	}
+	if len(period) > 0 {
+		out = append(out, period)
+	}
+	return out
+}
+
+// countedAgainstLimit returns the times of the arrivals of a period that count: those from limitTime on, by instances
+// that had passed the limit on backoffDelay before.
+func (o *Observations) countedAgainstLimit(target string, period []speaker.Arrival) []time.Time {
+	var out []time.Time
+	from := period[0].At.Add(limitTime)
+	for instance, arrivals := range o.bySender(target) {
+		arrivals = slices.DeleteFunc(arrivals, func(a speaker.Arrival) bool {
+			return a.At.Before(period[0].At) || a.At.After(period[len(period)-1].At)
+		})
+		learned := o.passedOn(arrivals, func(a speaker.Arrival, answer speaker.Answer) bool {
+			return a.Limit != nil && answer.Limited
+		})
+		for _, a := range arrivals {
+			if !learned.IsZero() && a.At.After(from) && a.At.After(learned.Add(backoffDelay)) &&
+				!o.excused(instance, learned, a.At) {
+				out = append(out, a.At)
+			}
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// mostInWindow returns the most of some sorted times that fall into a limitWindow.
+func mostInWindow(times []time.Time) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for times[first].Before(at.Add(-limitWindow)) {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
