Statements of targets that nothing reads are logged and counted

Headers of answers that look like a statement of the target and are not read are named in a log line, once each, and counted.

--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -82,8 +82,10 @@
 	RetryAt time.Time
 	// Leaving is set if the target reports that it leaves.
 	Leaving bool
-	// Malformed are the names of headers with values that could not be read.
+	// Malformed are the names of headers with values that could not be read, Unread those of headers that look like
+	// statements of a target about itself and that nothing reads.
 	Malformed []string
+	Unread    []string
 }
 
 // Codec reads and writes calls and replies in the format of one interface.
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -93,6 +93,7 @@
 	routes      routes
 	overdue     overdueRequests
 	withdrawals withdrawals
+	unread      unreadHeaders
 	// labelledPlan is the plan from which the organisations with a label in the metrics were chosen.
 	labelledPlan *wire.Plan
 	stopping     atomic.Bool
--- a/entry/internal/carrier/metrics.go
+++ b/entry/internal/carrier/metrics.go
@@ -23,6 +23,7 @@
 	rejections    *prometheus.CounterVec
 	backoffs      *prometheus.CounterVec
 	leaves        *prometheus.CounterVec
+	unread        prometheus.Counter
 	// organisations counts requests by organisation; labelled are the organisations with a label of their own.
 	organisations *prometheus.CounterVec
 	labelled      atomic.Pointer[map[string]bool]
@@ -72,12 +73,16 @@
 		Namespace: "chervilrail_entry", Name: "target_leaves_total",
 		Help: "Targets that said in an answer to this instance that they leave, by service.",
 	}, []string{"service"})
+	m.unread = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "chervilrail_entry", Name: "unread_statements_total",
+		Help: "Headers of targets' answers that look like statements about the target and that nothing reads.",
+	})
 	m.organisations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "chervilrail_entry", Name: "organisation_requests_total",
 		Help: "Requests by organisation and status; the largest organisations by name, the rest as others.",
 	}, []string{"organisation", "status"})
 	r.MustRegister(m.requests, m.duration, m.queueDuration, m.placed, m.undelivered, m.limits, m.rejections,
-		m.backoffs, m.leaves, m.organisations)
+		m.backoffs, m.leaves, m.unread, m.organisations)
 	return m
 }
 
--- a/entry/internal/carrier/replies.go
+++ b/entry/internal/carrier/replies.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -42,6 +43,7 @@
 // logReply logs and counts an answer by which a target turns a request away or says something of itself that changes
 // what it should get.
 func (c *Carrier) logReply(j *job, decision placer.Decision, status int, reply messenger.Reply) {
+	c.logUnread(j, decision, reply)
 	if reply.Unrun {
 		c.Metrics.rejections.WithLabelValues(j.service, strconv.Itoa(status)).Inc()
 	}
@@ -57,6 +59,41 @@
 		"backoff", backoff, "leaving", reply.Leaving, "load", reply.Load, "malformed", strings.Join(reply.Malformed, ","))
 }
 
+// maxUnread bounds the names of headers that are logged as unread.
+const maxUnread = 32
+
+// unreadHeaders are the headers that were logged as unread. The zero value is ready.
+type unreadHeaders struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// isNew reports whether a name was not seen before, and remembers it.
+func (u *unreadHeaders) isNew(name string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.seen[name] || len(u.seen) >= maxUnread {
+		return false
+	}
+	if u.seen == nil {
+		u.seen = map[string]bool{}
+	}
+	u.seen[name] = true
+	return true
+}
+
+// logUnread logs, once for each header, that targets say something that nothing reads.
+func (c *Carrier) logUnread(j *job, decision placer.Decision, reply messenger.Reply) {
+	for _, name := range reply.Unread {
+		if !c.unread.isNew(name) {
+			continue
+		}
+		c.Metrics.unread.Inc()
+		_ = level.Warn(c.Logger).Log("msg", "unread statement of target", "header", name, "id", j.call.ID,
+			"target", decision.Spec.Name)
+	}
+}
+
 // recordBackoff records until when a target wants no requests of this instance.
 func (c *Carrier) recordBackoff(j *job, svc *serviceState, decision placer.Decision, until time.Time) {
 	extended, report := svc.recordBackoff(time.Now(), decision.Target, until)
--- a/entry/internal/carrier/replies_test.go
+++ b/entry/internal/carrier/replies_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"chervilrail.example/core/placer"
 	"chervilrail.example/entry/internal/pooler"
@@ -92,6 +93,18 @@
 	}
 }
 
+// Guards against a statement of targets that nothing reads and nobody notices, and against a log line for each answer.
+func TestUnreadStatementsAreCountedOnce(t *testing.T) {
+	is := is.New(t)
+	answer := signedAnswer(http.StatusOK)
+	answer.header.Set("Server-Mood", "low")
+	c, _ := startCarrier(t, answer)
+	for range 5 {
+		sendRequest(c, http.MethodPost, "/once/1")
+	}
+	is.Equal(testutil.ToFloat64(c.Metrics.unread), 1.0)
+}
+
 // Guards against what another target says of itself being taken for what the addressed one says, after its address was
 // assigned to the other.
 func TestMisdirectedAnswersSayNothingOfTheTarget(t *testing.T) {
