--- a/entry/internal/pooler/pooler_test.go
+++ b/entry/internal/pooler/pooler_test.go
@@ -95,6 +95,21 @@
 	is.Equal(target.accepted.Load(), int32(1))
 }
 
+// Guards against a request that is sent on a connection which its target is about to close, and may have run or not.
+func TestConnectionIsNotReusedAfterClose(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, func(c net.Conn, _ int) {
+		write(c, "HTTP/1.1 200 OK\r\nId: mine\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody")
+	})
+	p := &Pooler{}
+	defer p.Close()
+	for range 2 {
+		_, outcome := send(t, p, target)
+		is.Equal(outcome, Answered)
+	}
+	is.Equal(target.accepted.Load(), int32(2))
+}
+
 // Guards against a request that is sent although what was decided for its target no longer holds, and against a
 // connection that is lost with it: each new one costs the target.
 func TestWithheldRequestIsNotSent(t *testing.T) {
