--- a/core/placer/backoff.go
+++ b/core/placer/backoff.go
@@ -17,6 +17,10 @@
 	// it. reportStep is the least time by which it has to be longer than the one that they know.
 	minReportedBackoff = 500 * time.Millisecond
 	reportStep         = 500 * time.Millisecond
+	// maxAvoidedPercent is the percentage of a region's targets that want no requests of other instances above which that
+	// is ignored.
+	maxAvoidedPercent = 50
+	percent           = 100
 )
 
 // backoff is the time for which a target wants no requests of this instance, and the return after it. The zero value is
@@ -39,14 +43,53 @@
 	return !now.Before(b.resumeAt) && (b.window == 0 || running < b.window)
 }
 
-// avoided reports whether other instances were asked for no requests.
-func (b *backoff) avoided(now time.Time) bool { return now.Before(b.avoidUntil) }
+// avoided reports whether a target is left to others because it wants no requests of other instances. Where most targets
+// of its region do not, there is no room for what they would take.
+func (p *Placer) avoided(now time.Time, t *Target) bool {
+	return now.Before(t.backoff.avoidUntil) && !p.ignoresAdvice(now, t.Region)
+}
+
+// advice holds the regions in which advice is ignored, as computed at a time: that takes a pass over all their targets.
+type advice struct {
+	at      time.Time
+	ignored map[string]bool
+}
+
+func (p *Placer) ignoresAdvice(now time.Time, region string) bool {
+	a := &p.advice
+	if a.ignored == nil || now.Sub(a.at) >= snapshotValidity {
+		a.at, a.ignored = now, map[string]bool{}
+	}
+	ignored, known := a.ignored[region]
+	if !known {
+		ignored = mostAreAvoided(now, p.hosts.byRegion[region])
+		a.ignored[region] = ignored
+	}
+	return ignored
+}
 
-// returnAt is until when requests are better sent elsewhere.
-func (b *backoff) returnAt() time.Time { return later(b.resumeAt, b.avoidUntil) }
+func mostAreAvoided(now time.Time, targets []*Target) bool {
+	avoided := 0
+	for _, t := range targets {
+		if now.Before(t.backoff.avoidUntil) {
+			avoided++
+		}
+	}
+	return avoided*percent > maxAvoidedPercent*len(targets)
+}
 
-// holds reports whether the target wants no requests, or few since it last wanted none.
-func (b *backoff) holds(now time.Time) bool { return now.Before(b.returnAt()) || b.window > 0 }
+// returnAt is until when a target's requests are better sent elsewhere.
+func (p *Placer) returnAt(now time.Time, t *Target) time.Time {
+	if p.avoided(now, t) {
+		return later(t.backoff.resumeAt, t.backoff.avoidUntil)
+	}
+	return t.backoff.resumeAt
+}
+
+// holdsBack reports whether a target wants no requests, or few since it last wanted none.
+func (p *Placer) holdsBack(now time.Time, t *Target) bool {
+	return now.Before(p.returnAt(now, t)) || t.backoff.window > 0
+}
 
 // extend records that a target wants no requests until a time. Of several times the latest holds.
 func (b *backoff) extend(now, until time.Time) bool {
@@ -122,6 +165,7 @@
 	if !ok || t.Incarnation != incarnation {
 		return
 	}
+	p.advice.ignored = nil
 	t.backoff.avoidUntil = later(t.backoff.avoidUntil, earlier(until, now.Add(maxBackoff)))
 }
 
@@ -149,7 +193,7 @@
 	most := uint64(0)
 	for _, target := range p.hosts.byRegion[host.Region] {
 		if target == host || !p.allowed(target, t) || !target.usable(now) || target.down(now) ||
-			target.backoff.avoided(now) {
+			p.avoided(now, target) {
 			continue
 		}
 		if w := hashWeight(t.Key, target.Name); best == nil || w > most {
@@ -175,7 +219,7 @@
 // awaitsHost reports whether a request is to go to its host, or to wait for it, though that may want no requests now.
 // What does not fit into the window of the return goes to the substitute, which has the object warm by then.
 func (p *Placer) awaitsHost(now time.Time, t *Ticket, host *Target) bool {
-	if at := host.backoff.returnAt(); now.Before(at) {
+	if at := p.returnAt(now, host); now.Before(at) {
 		return p.substitute().waits(now, at, t)
 	}
 	return host.backoff.allows(now, host.running)
@@ -185,7 +229,7 @@
 // the host wants none of other instances only, the request goes there where the substitute has no room.
 func (p *Placer) chooseSubstitute(now time.Time, t *Ticket) *Target {
 	host, ok := p.byName[t.Host]
-	if !ok || host.down(now) || !host.backoff.holds(now) {
+	if !ok || host.down(now) || !p.holdsBack(now, host) {
 		return nil
 	}
 	if target := p.substitute().choose(p, now, t, host); target != nil {
--- a/core/placer/backoff_test.go
+++ b/core/placer/backoff_test.go
@@ -213,6 +213,14 @@
 			is.True(refused["advised"] < refused["advised, by cost"])
 			is.True(refused["advised"] < 1.1*refused["kept, not told"])
 			is.True(onTime["advised"] > onTime["ignored"]-0.01)
+			all := need{
+				fraction: 1, from: 6 * time.Second, until: 9 * time.Second, asked: 3 * time.Second, sharing: adviceSharing,
+			}
+			_, advised, _ := simulateNeed(1, w, all)
+			all.sharing = noSharing
+			_, notTold, _ := simulateNeed(1, w, all)
+			t.Logf("all targets: on time %.3f, not told %.3f", advised, notTold)
+			is.True(advised > notTold-0.03)
 		})
 	}
 }
@@ -466,6 +474,19 @@
 	is.Equal(sentTo(p, start, again), "b")
 }
 
+// Guards against objects that run cold elsewhere because most targets of a region want no requests of some instance: the few
+// others have no room for them.
+func TestAdviceIsIgnoredWhereItHoldsForMostTargets(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(spec("a"), spec("b"), spec("c"))
+	p.AvoidUntil(start, "a", 1, start.Add(3*time.Second))
+	is.True(p.avoided(start, p.byName["a"]))
+	p.AvoidUntil(start, "b", 1, start.Add(time.Second))
+	is.True(!p.avoided(start, p.byName["a"]))
+	is.Equal(sentTo(p, start, hostTicket(start)), "a")
+	is.True(p.avoided(start.Add(2*time.Second), p.byName["a"]))
+}
+
 // Guards against an instance that ends because no target of a region may get objects: all want no requests, and some of
 // them have joined since the objects were assigned.
 func TestObjectsStayWhileAllTargetsWantNone(t *testing.T) {
@@ -497,5 +518,5 @@
 	without.Host = ""
 	is.True(sentTo(p, start, without) != "")
 	p.AvoidUntil(start, "a", 2, start.Add(time.Minute)) // another incarnation
-	is.True(!p.byName["a"].backoff.avoided(start.Add(4 * time.Second)))
+	is.True(!p.avoided(start.Add(4*time.Second), p.byName["a"]))
 }
--- a/core/placer/balancer.go
+++ b/core/placer/balancer.go
@@ -166,7 +166,7 @@
 // belong there by hash, or nil. Otherwise a new target would stay empty, because all objects have their targets.
 func (p *Placer) joinedTarget(now time.Time, object uint64, assigned *assignedObject, from *Target) *Target {
 	targets := slices.DeleteFunc(slices.Clone(p.hosts.byRegion[from.Region]), func(t *Target) bool {
-		return !p.eligible(now, t, assigned.lastRequest.Regions) || now.Before(t.backoff.returnAt())
+		return !p.eligible(now, t, assigned.lastRequest.Regions) || now.Before(p.returnAt(now, t))
 	})
 	if len(targets) == 0 {
 		return nil
--- a/core/placer/choice.go
+++ b/core/placer/choice.go
@@ -124,7 +124,7 @@
 	var lowest time.Duration
 	for _, target := range candidates {
 		if !p.allowed(target, t) || !target.usable(now) || !p.regionSplit.allows(now, target.Region) ||
-			target.backoff.avoided(now) != avoided {
+			p.avoided(now, target) != avoided {
 			continue
 		}
 		cost, ok := p.cost(now, target, t, warmProbability(slices.Index(hosts, target)))
--- a/core/placer/overflow.go
+++ b/core/placer/overflow.go
@@ -112,7 +112,7 @@
 // regions take as much as they have room for.
 func (p *Placer) mayOverflow(now time.Time, t *Ticket, host, target *Target) bool {
 	if !p.allowed(target, t) || !target.usable(now) || now.Before(target.ColdUntil) ||
-		target.backoff.avoided(now) {
+		p.avoided(now, target) {
 		return false
 	}
 	return target.Region == host.Region || p.regionSplit.unlimited(now) || p.overflow.allowsCrossRegion(now)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -115,6 +115,7 @@
 	// substitutes chooses for hosts that want no requests, rendezvous if it is nil. departed are targets that left the
 	// control state while something held that they had said; refusals counts the refusals for want of room.
 	substitutes substitute
+	advice      advice
 	departed    departed
 	refusals    uint64
 	// firstTargetAt is when this instance first had targets; announced holds the names of those that it had within
--- a/core/placer/queue.go
+++ b/core/placer/queue.go
@@ -82,7 +82,7 @@
 		slots := float64(max(1, host.Slots))
 		queue := time.Duration(float64(p.typicalServiceTime()) * float64(p.ticketsAhead(now, t)+1) / slots)
 		queue += time.Duration(float64(t.WarmTime) * max(0, p.queuedAt(now, host)) / slots)
-		return max(queue, t.WarmAt.Sub(now), host.backoff.returnAt().Sub(now))
+		return max(queue, t.WarmAt.Sub(now), p.returnAt(now, host).Sub(now))
 	}
 	weight := gauger.Decay(now.Sub(p.placementGapAt), placementGapDecay)
 	averageGap := float64(p.typicalServiceTime()) / max(1, p.slotsPerInstance)
--- a/core/placer/room.go
+++ b/core/placer/room.go
@@ -53,7 +53,7 @@
 	var best *Target
 	leastLoad, leastObjects := math.Inf(1), math.Inf(1)
 	for _, target := range p.candidates(region, object) {
-		if !p.eligible(now, target, request.Regions) || now.Before(target.backoff.returnAt()) {
+		if !p.eligible(now, target, request.Regions) || now.Before(p.returnAt(now, target)) {
 			continue
 		}
 		load := math.Floor(target.expectedLoad(now)/loadStep) *
