--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -11,11 +11,12 @@
 //
 // The files: choice finds the target of a request, queue orders the waiting requests, assigner assigns objects to their
 // hosts, room finds the targets with room for them, hosts selects hosts by hash for requests whose host is not known,
-// chance estimates how likely those are warm, gate
-// decides whether a request may be sent to a target now, ratelimit keeps to the limits that targets name, backoff to the
-// times for which they want no requests, balancer moves objects away from overloaded targets, overflow finds a
-// target for requests whose host is full, crowd estimates the load by other instances' requests, spread limits how fast
-// the shares of requests that go to each region change, target holds the state of one target.
+// chance estimates how likely those are warm, gate decides whether a request may be sent to a target now, ratelimit keeps
+// to the limits that targets name, backoff to the times for which they want no requests, substitute finds the target of
+// requests whose host wants none, advice avoids targets that want none of other instances, departed remembers what targets
+// said that left the control state, balancer moves objects away from overloaded targets, overflow finds a target for
+// requests whose host is full, crowd estimates the load by other instances' requests, spread limits how fast the shares of
+// requests that go to each region change, target holds the state of one target.
 package placer
 
 import (
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -166,20 +166,13 @@
 		reply = c.Codec.Reply(answer.Status, answer.Header, time.Now())
 	}
 	out, state := c.classify(j, answer, reply, sendOutcome)
-	outcome := placer.Outcome{Failed: state != answered}
+	outcome := placer.Outcome{Failed: true}
+	if state == answered {
+		outcome = c.recordAnswer(j, target, answer.Status, start)
+	}
 	if sendOutcome == pooler.Answered {
 		outcome.Load = c.recordReply(j, svc, decision, start, answer.Status, reply)
 	}
-	if state == answered {
-		outcome.ResponseTime = time.Since(start)
-		if target.Region != c.Region {
-			outcome.ResponseTime = max(0, outcome.ResponseTime-regionRoundTrip)
-		}
-		outcome.ExpectedTime = c.routes.meanServiceTime(j.route, outcome.ResponseTime)
-		outcome.Failed = answer.Status >= http.StatusInternalServerError
-		c.routes.recordServiceTime(j.route, outcome.ResponseTime)
-		c.clearSuspicion(start, j)
-	}
 	if err != nil {
 		outcome.Unreachable = ctx.Err() == nil
 		c.recordLoss(j, target, loss{
@@ -190,6 +183,21 @@
 	return out, state
 }
 
+// recordAnswer records the service time of a request that was sent at a given time and answered, and returns its outcome.
+func (c *Carrier) recordAnswer(j *job, target *placer.Spec, status int, sent time.Time) placer.Outcome {
+	took := time.Since(sent)
+	if target.Region != c.Region {
+		took = max(0, took-regionRoundTrip)
+	}
+	out := placer.Outcome{
+		ResponseTime: took, ExpectedTime: c.routes.meanServiceTime(j.route, took),
+		Failed: status >= http.StatusInternalServerError,
+	}
+	c.routes.recordServiceTime(j.route, took)
+	c.clearSuspicion(sent, j)
+	return out
+}
+
 // context returns the context of an attempt, which ends answerMargin after the request's deadline. An idempotent
 // request is cancelled when its caller disconnects; any other continues, because cancelling it halfway would leave the
 // caller uncertain whether, for example, a booking was made.
