Soak: an answer that was lost on its target's link binds nobody

Trace: the instance's log has no answer of the target that turns a request away, and one attempt there that ended with a reset connection (sent, 288 ms, connection reset by peer) while the target turned all away and its link was muted and reset by the schedule. The instance was not told, which the rule's text excuses only as far as it binds those that were answered. The check leaves out answers sent within 2.5 s after a mute, silence or reset of the target's link, and nothing else; its message names the answer now.

--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -242,6 +242,9 @@
 
 func (s *Soak) injectLinkFault(f fault) {
 	t := s.pickTarget(f.index, false)
+	if f.kind != linkDelay {
+		s.linkFaults.record(t.ID)
+	}
 	switch f.kind {
 	case linkReset:
 		t.relay.Reset()
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -53,6 +53,7 @@
 	// reserved contains the processes and zones that are reserved for a running fault.
 	reserved     map[string]bool
 	disturbances disturbances
+	linkFaults   disturbances
 }
 
 // Counts returns the number of requests sent, and how many of them received the complete answer of a target.
--- a/standin/internal/soaker/statements.go
+++ b/standin/internal/soaker/statements.go
@@ -23,26 +23,31 @@
 // asked are the times for which targets want no requests.
 var asked = []string{"3", "0.2", "1", "8"}
 
-// disturbances are the times at which entry instances were restarted, frozen or thawed, by their address.
+// lossTime is how long after a fault of a target's link an answer may still be lost: connections that have gone silent are
+// used until a request on them has failed at its deadline.
+const lossTime = 2500 * time.Millisecond
+
+// disturbances are the times at which entry instances were restarted, frozen or thawed, by their address, or at which the
+// links of targets failed, by the target.
 type disturbances struct {
 	mu    sync.Mutex
 	times map[string][]time.Time
 }
 
-func (d *disturbances) record(instance string) {
+func (d *disturbances) record(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.times == nil {
 		d.times = map[string][]time.Time{}
 	}
-	d.times[instance] = append(d.times[instance], time.Now())
+	d.times[name] = append(d.times[name], time.Now())
 }
 
-// between reports whether an instance was disturbed between two times.
-func (d *disturbances) between(instance string, from, to time.Time) bool {
+// between reports whether there was a disturbance between two times.
+func (d *disturbances) between(name string, from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, at := range d.times[instance] {
+	for _, at := range d.times[name] {
 		if !at.Before(from) && !at.After(to) {
 			return true
 		}
@@ -100,7 +105,9 @@
 
 // checkStatements checks that entry instances did as targets asked in their answers.
 func (s *Soak) checkStatements(answers []speaker.Answer) {
-	seen := &verifier.Observations{Excused: s.disturbances.between}
+	seen := &verifier.Observations{Excused: s.disturbances.between, Lost: func(target string, at time.Time) bool {
+		return s.linkFaults.between(target, at.Add(-lossTime), at.Add(targetWork))
+	}}
 	for _, a := range answers {
 		seen.AddAnswer(a)
 	}
--- a/standin/internal/verifier/verifier.go
+++ b/standin/internal/verifier/verifier.go
@@ -33,6 +33,8 @@
 type Observations struct {
 	// Excused reports whether an entry instance was restarted or frozen between two times; nil if none was.
 	Excused func(instance string, from, to time.Time) bool
+	// Lost reports whether an answer that a target sent at a time may not have arrived; nil if all did.
+	Lost func(target string, at time.Time) bool
 
 	answers  map[string]speaker.Answer
 	arrivals map[string][]speaker.Arrival
@@ -76,9 +78,9 @@
 	var out []string
 	for target := range o.arrivals {
 		for instance, arrivals := range o.bySender(target) {
-			if worst, most := o.worstBackoff(instance, arrivals); most > maxInBackoff {
-				out = append(out, fmt.Sprintf("%s sent %d requests to %s within the %s for which it asked for none", instance,
-					most, target, worst.BackoffUntil.Sub(worst.At)))
+			if worst, most := o.worstBackoff(target, instance, arrivals); most > maxInBackoff {
+				out = append(out, fmt.Sprintf("%s sent %d requests to %s within the %s for which it asked for none in its answer to %s",
+					instance, most, target, worst.BackoffUntil.Sub(worst.At), worst.ID))
 			}
 		}
 	}
@@ -86,9 +88,11 @@
 }
 
 // worstBackoff returns the arrival whose backoff contains the most further arrivals, and their number.
-func (o *Observations) worstBackoff(instance string, arrivals []speaker.Arrival) (worst speaker.Arrival, most int) {
+func (o *Observations) worstBackoff(
+	target, instance string, arrivals []speaker.Arrival,
+) (worst speaker.Arrival, most int) {
 	for i, first := range arrivals {
-		if first.BackoffUntil.IsZero() {
+		if first.BackoffUntil.IsZero() || o.Lost != nil && o.Lost(target, first.At) {
 			continue
 		}
 		n := 0
