Review case 2: heartbeats whose id can't be read cut off the entry instances

Seen: a foreign writer sends one heartbeat with an id that is no UTF-8 to each controller, and gets 200. From then on no entry instance learns of any change: an acknowledged change of a route is not in force 2.5 s later nor ever after, and an evacuated zone goes on getting requests.

At fault: registrar.CheckFormat and platform/translator let the bytes into wire.Record.name, a proto3 string, so that exchanges between controllers and answers to Watch calls can't be encoded, again and again.

--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -26,7 +26,8 @@
 type scenario func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"disks-lost": disksLost,
+	"disks-lost":    disksLost,
+	"unreadable-id": unreadableID,
 }
 
 func main() {
@@ -57,6 +58,16 @@
 		return exitNoCase
 	}
 	defer d.end()
+	go func() {
+		// A signal or the time limit ends the case and all processes that it started.
+		<-ctx.Done()
+		if !d.isClosed() {
+			record.add("result", "the case couldn't run: %v", ctx.Err())
+			d.end()
+			record.close()
+			os.Exit(exitNoCase)
+		}
+	}()
 	broken, err := scenarios[os.Args[1]](ctx, d, trouble)
 	if err == nil && ctx.Err() != nil {
 		err = ctx.Err()
