--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -27,6 +27,7 @@
 
 var scenarios = map[string]scenario{
 	"disks-lost":    disksLost,
+	"endless-bytes": endlessBytes,
 	"unreadable-id": unreadableID,
 }
 
