Review: scripts wait until processes listen and serve

Seen: on a slow machine a front node may not serve yet when the disruption begins, and a controller may listen late. Both are waited for now, so that such a run doesn't count for or against the rule.

--- a/review/kit/disks.go
+++ b/review/kit/disks.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -57,6 +58,7 @@
 		if err := victim.loseDisk(); err != nil {
 			return false, err
 		}
+		d.record.add("step", "%s is back", victim.name)
 		time.Sleep(catchUp + settle)
 	}
 	last := time.Now()
@@ -80,7 +82,22 @@
 	if err := os.RemoveAll(filepath.Join(m.d.folder, m.name, "data")); err != nil {
 		return err
 	}
-	return m.start()
+	if err := m.start(); err != nil {
+		return err
+	}
+	return m.awaitListening()
+}
+
+// awaitListening waits until the machine's process listens.
+func (m *machine) awaitListening() error {
+	for range 100 {
+		conn, err := net.DialTimeout("tcp", join(m.ip, m.d.ports.control), time.Second)
+		if err == nil {
+			return conn.Close()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.New(m.name + " doesn't listen")
 }
 
 // other returns a machine of the core that is not among the lost ones: the leader, or one that does not lead.
--- a/review/kit/unreadable.go
+++ b/review/kit/unreadable.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// readyTries is how often the front nodes are tried before the disruption, once a second.
+const readyTries = 20
+
 // unreadableID has a foreign writer send heartbeats whose id is bytes that can't be read, to one node of the core after
 // the other. Then the operator moves a route to another service and evacuates a zone. The rule CONFIG is broken if a
 // front node in touch still has the route served by the old service configApplyS after the acknowledgement.
@@ -28,7 +31,12 @@
 	}
 	time.Sleep(lead)
 	client := &http.Client{Transport: &http.Transport{}}
-	if served := probeAll(ctx, d, client, "/moved/", "first"); served.wrong+served.failed > 0 {
+	served := probeAll(ctx, d, client, "/moved/", "first")
+	for i := 0; i < readyTries && served.wrong+served.failed > 0; i++ {
+		time.Sleep(time.Second)
+		served = probeAll(ctx, d, client, "/moved/", "first")
+	}
+	if served.wrong+served.failed > 0 {
 		return false, fmt.Errorf("before the disruption: %+v", served)
 	}
 	d.record.add("step", "all front nodes serve the route by the first service")
