Logs: each call without an answer, the connection it used, and what is tried next

Now each call without an answer says its controller, the connection (new, or kept idle for how long), how long it took, the next controller and why that one, and the pause before. Exchanges and messages among controllers name the connection, too. The pause is set where the next controller is chosen; otherwise no logic changes.

--- a/controller/internal/courier/courier.go
+++ b/controller/internal/courier/courier.go
@@ -101,10 +101,12 @@
 		if !ok {
 			return
 		}
-		err := c.deliver(client, batch)
+		ctx, usage := dialer.WithUsage(c.ctx)
+		err := c.deliver(ctx, client, batch)
 		if (err != nil) != failing {
 			failing = err != nil
-			_ = level.Warn(c.Logger).Log("msg", "peer", "address", address, "reachable", !failing, "err", err)
+			_ = level.Warn(c.Logger).Log("msg", "peer", "address", address, "reachable", !failing, "connection", usage,
+				"err", err)
 		}
 	}
 }
@@ -131,8 +133,8 @@
 }
 
 // deliver sends a batch in one call. Its messages are not retried here.
-func (c *Courier) deliver(client wireconnect.ReplicasClient, batch []*wire.Message) error {
-	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+func (c *Courier) deliver(ctx context.Context, client wireconnect.ReplicasClient, batch []*wire.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{Messages: batch}))
 	return err
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -248,10 +248,12 @@
 	reachable := true
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := x.exchange(ctx, client, name, p)
+		call, usage := dialer.WithUsage(ctx)
+		err := x.exchange(call, client, name, p)
 		if ctx.Err() == nil && (err == nil) != reachable {
 			reachable = err == nil
-			_ = level.Warn(x.Logger).Log("msg", "controller", "name", name, "reachable", reachable, "err", err)
+			_ = level.Warn(x.Logger).Log("msg", "controller", "name", name, "reachable", reachable,
+				"connection", usage, "took", time.Since(started), "err", err)
 		}
 		if err != nil {
 			wait(ctx, time.Now().Add(gossiper.Period), nil)
--- a/entry/internal/watcher/calls.go
+++ b/entry/internal/watcher/calls.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/packer"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/core/wire/wireconnect"
@@ -30,6 +31,8 @@
 	sent       time.Time
 	ctx        context.Context
 	cancel     context.CancelFunc
+	// usage tells which connection the call uses.
+	usage *dialer.Usage
 }
 
 // outcome is how a call ended.
@@ -43,6 +46,7 @@
 func (w *Watcher) startCall() *call {
 	c := &call{controller: w.state.controller, sent: time.Now()}
 	c.ctx, c.cancel = context.WithTimeout(w.ctx, lateTimeout)
+	c.ctx, c.usage = dialer.WithUsage(c.ctx)
 	request := w.request()
 	w.calls.Go(func() {
 		defer c.cancel()
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -110,9 +110,11 @@
 	// it has when no controller answers.
 	established bool
 	failing     bool
-	// retryPause is the pause after the next failure, late the calls that were not answered in time but may be yet.
+	// retryPause is the pause after the next failure, nextCall the time before which no call is made.
 	retryPause time.Duration
-	late       []*call
+	nextCall   time.Time
+	// late are the calls that were not answered in time but may be yet.
+	late []*call
 	// avoidUntil holds until when a controller that failed is not called while there are others.
 	avoidUntil map[netip.AddrPort]time.Time
 }
@@ -198,27 +200,25 @@
 func (w *Watcher) run() {
 	defer close(w.done)
 	for w.ctx.Err() == nil {
-		if w.poll() {
-			continue
-		}
+		w.poll()
 		select {
 		case <-w.ctx.Done():
-		case <-time.After(w.nextRetryPause()):
+		case <-time.After(time.Until(w.state.nextCall)):
 		}
 	}
 }
 
-// nextRetryPause returns how long to wait after a failure, and doubles the pause after the next one. Half of it is
-// random, so that instances that failed together do not call together again.
-func (w *Watcher) nextRetryPause() time.Duration {
+// pause sets the time of the next call after a failure, and doubles the pause after the next one. Half of it is random,
+// so that instances that failed together do not call together again.
+func (w *Watcher) pause(now time.Time) {
 	s := &w.state
 	pause := max(minRetryPause, s.retryPause)
 	s.retryPause = min(maxRetryPause, 2*pause)
-	return pause/2 + rand.N(pause/2)
+	s.nextCall = now.Add(pause/2 + rand.N(pause/2))
 }
 
-// poll makes one Watch call and reports whether the next one may follow without a pause.
-func (w *Watcher) poll() bool {
+// poll makes one Watch call.
+func (w *Watcher) poll() {
 	s := &w.state
 	if !s.controller.IsValid() {
 		s.controller = s.controllers[rand.IntN(len(s.controllers))]
@@ -228,35 +228,37 @@
 	current := w.startCall()
 	o := w.await(current)
 	if o.err != nil {
-		return w.handleError(o)
+		w.handleError(o)
+		return
 	}
 	w.adopt(o.call, current)
-	return w.handleAnswer(o)
+	w.handleAnswer(o)
 }
 
-// handleAnswer applies a controller's answer and reports whether the next call may follow without a pause.
-func (w *Watcher) handleAnswer(o outcome) bool {
+// handleAnswer applies a controller's answer.
+func (w *Watcher) handleAnswer(o outcome) {
 	s := &w.state
 	s.polled = true
 	if s.failing {
 		s.failing = false
 		_ = level.Info(w.Logger).Log("msg", "controller answers", "controller", s.controller,
-			"took", time.Since(o.call.sent))
+			"took", time.Since(o.call.sent), "connection", o.call.usage)
 	}
 	if o.response.GetRun() == 0 {
 		w.applyControllers(o.response)
 		w.preferNear()
-		return true
+		return
 	}
 	w.apply(o.call.sent, time.Now(), o.response)
 	if o.response.GetLinked() {
 		s.retryPause = 0
 		w.preferNear()
-		return true
+		return
 	}
-	_ = level.Warn(w.Logger).Log("msg", "controller can't reach most voters", "controller", s.controller)
-	w.failOver()
-	return false
+	controller := s.controller
+	choice := w.failOver()
+	_ = level.Warn(w.Logger).Log("msg", "controller can't reach most voters", "controller", controller,
+		"next", s.controller, "choice", choice)
 }
 
 func (w *Watcher) request() *wire.WatchRequest {
@@ -297,18 +299,18 @@
 	}
 }
 
-// handleError fails over to another controller, unless the call failed because the watcher stops. It returns false.
-func (w *Watcher) handleError(o outcome) bool {
+// handleError fails over to another controller, unless the call failed because the watcher stops.
+func (w *Watcher) handleError(o outcome) {
 	if w.ctx.Err() != nil {
-		return false
-	}
-	if !w.state.failing {
-		w.state.failing = true
-		_ = level.Warn(w.Logger).Log("msg", "controller does not answer", "controller", w.state.controller,
-			"took", time.Since(o.call.sent), "age", logger.Age(time.Now(), w.state.confirmed), "err", o.err)
+		return
 	}
-	w.failOver()
-	return false
+	s := &w.state
+	s.failing = true
+	now := time.Now()
+	choice := w.failOver()
+	_ = level.Warn(w.Logger).Log("msg", "controller does not answer", "controller", o.call.controller,
+		"connection", o.call.usage, "took", now.Sub(o.call.sent), "age", logger.Age(now, s.confirmed),
+		"next", s.controller, "choice", choice, "pause", s.nextCall.Sub(now), "err", o.err)
 }
 
 // preferNear switches to a controller of this region, if the present one is elsewhere and one is eligible: every change
@@ -345,18 +347,36 @@
 	s.observed, s.loaded = 0, 0
 }
 
+// choice is how the next controller was chosen after a failure.
+type choice string
+
+const (
+	// chosenNear is a controller of this region that has not failed lately, chosenKnown one of the others.
+	chosenNear  choice = "near"
+	chosenKnown choice = "known"
+	// chosenAny is any controller, as all have failed lately.
+	chosenAny choice = "any"
+)
+
 // failOver avoids the present controller for a while and switches to another: one of this region if any is eligible,
 // else one of the known controllers and the seeds, because all known ones may have been replaced while this instance
-// was disconnected. If all of them failed lately, any of them is used.
-func (w *Watcher) failOver() {
+// was disconnected. If all of them failed lately, any of them is used. It returns how the controller was chosen.
+func (w *Watcher) failOver() choice {
 	s := &w.state
 	now := time.Now()
+	w.pause(now)
 	s.avoidUntil[s.controller] = now.Add(avoidTime)
 	all := append(slices.Clone(s.controllers), w.seeds()...)
-	for _, list := range [][]netip.AddrPort{w.eligible(now, s.near), w.eligible(now, all), all} {
-		if len(list) > 0 {
-			w.switchTo(list)
-			return
-		}
+	if near := w.eligible(now, s.near); len(near) > 0 {
+		w.switchTo(near)
+		return chosenNear
+	}
+	if known := w.eligible(now, all); len(known) > 0 {
+		w.switchTo(known)
+		return chosenKnown
+	}
+	if len(all) > 0 {
+		w.switchTo(all)
 	}
+	return chosenAny
 }
