Connections are trusted with a call for 1.2 s after they last received something

When the open connections of an entry instance go silent, its call to a controller ends after 1.8 s; the next controllers were called over connections kept for up to 90 s, which were as silent: 1.8 s more for each. Controllers called each other over HTTP/2 connections whose pings noticed silence after 4 s.

Cause: the loss of a peer was noticed by each call for itself, though it is a property of the connection. Now one bound in core/dialer holds for all connections between our processes: an idle HTTP/1.1 connection is kept for 1.2 s, an HTTP/2 connection that receives nothing for as long is closed by its pings. A call for changes is late after 1.5 s instead of 1.8 s (late calls go on as before), so that all of a fail-over (call, pause, new connection, answer) stays below 2 s.

Built the other way and left out: a call without an answer closes all idle connections that have received nothing since it was sent.

--- a/core/dialer/dialer.go
+++ b/core/dialer/dialer.go
@@ -12,16 +12,20 @@
 )
 
 const (
-	idleTimeout = 90 * time.Second
+	// SilenceTimeout is how long a connection may receive nothing and still be trusted with a call. When its state is lost
+	// between the two ends, calls on it get no response until the kernel times out, minutes later, and the same has often
+	// happened to all connections that were open then: a caller that turns to another process would wait again and again.
+	SilenceTimeout = 1200 * time.Millisecond
+	// http2IdleTimeout is how long an idle HTTP/2 connection is kept. Its pings show that it works.
+	http2IdleTimeout = 90 * time.Second
 	// dialTimeout bounds the opening of a connection. It allows for one lost SYN packet, which is retransmitted after a
 	// second.
 	dialTimeout    = 1500 * time.Millisecond
 	maxIdlePerHost = 16
-	// pingAfter is how long a connection receives nothing before it is pinged, and pingTimeout how long it is then kept
-	// without an answer. Without pings, every call on a connection whose state was lost between the two ends would get
-	// no response until the kernel times out, minutes later.
-	pingAfter   = 2 * time.Second
-	pingTimeout = 2 * time.Second
+	// pingAfter is how long an HTTP/2 connection receives nothing before it is pinged, and pingTimeout how long it is then
+	// kept without an answer.
+	pingAfter   = SilenceTimeout / 2
+	pingTimeout = SilenceTimeout - pingAfter
 )
 
 // MinCompressedSize is the size in bytes from which a response between processes is compressed. For smaller responses,
@@ -34,7 +38,8 @@
 	Keys *securer.Keys
 	// HTTP1Only restricts clients to HTTP/1.1, with one call at a time on a connection. A call that times out then
 	// closes its connection, and the next call opens another: a connection whose state was lost between the two ends
-	// fails one call, where a shared HTTP/2 connection would fail all calls until its ping times out.
+	// fails one call, where a shared HTTP/2 connection would fail all calls until its ping times out. There are no pings,
+	// so an idle connection is kept for SilenceTimeout only.
 	HTTP1Only bool
 }
 
@@ -45,7 +50,7 @@
 	transport := &http.Transport{
 		// A call that was cancelled must not run later, when an interrupted network path works again.
 		DialContext:         (&resetter.Dialer{Dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}}).DialContext,
-		IdleConnTimeout:     idleTimeout,
+		IdleConnTimeout:     d.idleTimeout(),
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		Protocols:           protocols,
 		HTTP2: &http.HTTP2Config{
@@ -67,6 +72,13 @@
 	return &http.Client{Transport: transport}, nil
 }
 
+func (d *Dialer) idleTimeout() time.Duration {
+	if d.HTTP1Only {
+		return SilenceTimeout
+	}
+	return http2IdleTimeout
+}
+
 // URL returns the base URL of the process at an address.
 func (d *Dialer) URL(address netip.AddrPort) string {
 	if d.Keys != nil && d.Keys.Files.Enabled() {
--- a/entry/internal/watcher/calls.go
+++ b/entry/internal/watcher/calls.go
@@ -17,7 +17,7 @@
 const (
 	// callTimeout is how long a call keeps this instance from calling another controller. It covers the second for which a
 	// controller holds a call without changes, and a round trip with one lost packet.
-	callTimeout = 1800 * time.Millisecond
+	callTimeout = 1500 * time.Millisecond
 	// maxLate is how many calls go on after that. Where the link of this instance is full, all answers come late: given
 	// up, none would ever arrive.
 	maxLate = 2
