Soak: connections to controllers go silent, and every accepted change has to be in force in time

A change that comes into force 5 s late at one instance shows in a verdict only if a caller happens to ask there. The soak now checks each accepted version at each instance by the logs (2.5 s), unless the instance or a controller was disturbed within 2.5 s before its acceptance or after. A fault of its own makes the open connections of all instances, or of one controller, go silent; its random numbers are its own, so that other faults of a seed stay.

--- a/standin/internal/soaker/checker.go
+++ b/standin/internal/soaker/checker.go
@@ -37,6 +37,8 @@
 	// accepted lists the accepted versions, oldest first.
 	accepted   []acceptance
 	departures []departure
+	// lagsChecked counts the pairs of an accepted version and an entry instance that were checked.
+	lagsChecked int
 }
 
 // acceptance is a version of the plan whose change was acknowledged at a time.
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"syscall"
 	"time"
 
 	"chervilrail.example/platform/speaker"
 	"chervilrail.example/standin/internal/relayer"
+	"chervilrail.example/standin/internal/silencer"
 	"chervilrail.example/standin/internal/starter"
 )
 
@@ -21,6 +23,9 @@
 	linkDelayTime = 120 * time.Millisecond
 )
 
+// anyController is the name under which faults of controllers are recorded.
+const anyController = "controller"
+
 // relayedTarget is a target whose connections go through a relay.
 type relayedTarget struct {
 	*speaker.Target
@@ -89,7 +94,7 @@
 // runSchedule starts the faults at their scheduled times and waits until all of them have ended.
 func (s *Soak) runSchedule(ctx context.Context) {
 	start := time.Now()
-	finished := make(chan struct{}, 2*len(kinds)*int(s.Length/minGap))
+	finished := make(chan struct{}, (2*len(kinds)+1)*int(s.Length/minGap))
 	running := 0
 	for _, f := range schedule(s.Seed, s.Length) {
 		time.Sleep(time.Until(start.Add(f.at)))
@@ -124,6 +129,8 @@
 		s.injectLinkFault(f)
 	case evacuation:
 		s.evacuate(ctx, f)
+	case controlSilence:
+		s.silenceControl(f)
 	case targetReject, targetsRejectAll, targetLimit, targetSaysLeave:
 		s.injectStatement(ctx, f)
 	}
@@ -166,6 +173,34 @@
 	p.Thaw()
 }
 
+// silenceControl makes the open connections for internal calls go silent at one controller, or at all entry instances that
+// have no other fault.
+func (s *Soak) silenceControl(f fault) {
+	silenced := map[string]*starter.Process{}
+	if f.index%2 == 0 {
+		i := f.index / 2 % controllers
+		silenced[fmt.Sprintf("c%d", i)] = s.system.Controllers[i]
+	} else {
+		for i, p := range s.system.Entries {
+			silenced[fmt.Sprintf("e%d", i)] = p
+		}
+	}
+	for name, p := range silenced {
+		if !s.reserve(name) {
+			continue
+		}
+		if _, err := silencer.Silence(p.PID(), isControl); err != nil {
+			s.checker.fail("connections of %s not silenced: %v", name, err)
+		}
+		s.release(name)
+	}
+}
+
+// isControl reports whether a connection belongs to the controllers' port for internal calls.
+func isControl(local, remote netip.AddrPort) bool {
+	return local.Port() == starter.ControlPort || remote.Port() == starter.ControlPort
+}
+
 func (s *Soak) checkStarted(name string, err error) {
 	if err != nil {
 		s.checker.fail("start of %s failed: %v", name, err)
@@ -179,6 +214,8 @@
 		return
 	}
 	defer s.release(name)
+	s.controllerFaults.record(anyController)
+	defer s.controllerFaults.record(anyController)
 	p := s.system.Controllers[i]
 	if f.kind == controllerFreeze {
 		p.Freeze()
@@ -214,6 +251,8 @@
 
 // killControllers kills all controllers and restarts them after a while.
 func (s *Soak) killControllers(down time.Duration) {
+	s.controllerFaults.record(anyController)
+	defer s.controllerFaults.record(anyController)
 	for i := range controllers {
 		if name := fmt.Sprintf("c%d", i); s.reserve(name) {
 			defer s.release(name)
--- a/standin/internal/soaker/schedule.go
+++ b/standin/internal/soaker/schedule.go
@@ -29,6 +29,7 @@
 	linkMute          kind = "link-mute"
 	linkDelay         kind = "link-delay"
 	evacuation        kind = "evacuation"
+	controlSilence    kind = "control-silence"
 )
 
 // The kinds of what targets say in their answers: that they want no requests, one of them or all at once, that they take
@@ -63,6 +64,9 @@
 	// The same gap between two statements of targets.
 	statementGap    = 300 * time.Millisecond
 	statementSpread = 1500 * time.Millisecond
+	// The same gap between two faults of the connections to controllers.
+	silenceGap    = 2 * time.Second
+	silenceSpread = 4 * time.Second
 	// limitHold is how long a limit holds beyond the duration of its fault: it counts only after some seconds.
 	limitHold = 7 * time.Second
 )
@@ -97,7 +101,7 @@
 		}
 		out = append(out, f)
 	}
-	return slices.SortedStableFunc(slices.Values(slices.Concat(out, scheduleStatements(seed, length))),
+	return slices.SortedStableFunc(slices.Values(slices.Concat(out, scheduleStatements(seed, length), scheduleSilence(seed, length))),
 		func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 }
 
@@ -118,3 +122,13 @@
 	}
 	return out
 }
+
+// scheduleSilence generates the faults of the connections to controllers, from random numbers of their own.
+func scheduleSilence(seed uint64, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var out []fault
+	for at := silenceGap; at < length; at += silenceGap + time.Duration(random.Int64N(int64(silenceSpread))) {
+		out = append(out, fault{at: at, kind: controlSilence, index: random.IntN(1 << 16)})
+	}
+	return out
+}
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +53,8 @@
 	reserved     map[string]bool
 	disturbances disturbances
 	linkFaults   disturbances
+	// controllerFaults are the times at which a fault of any controller began or ended, under the name anyController.
+	controllerFaults disturbances
 }
 
 // Counts returns the number of requests sent, and how many of them received the complete answer of a target.
@@ -63,6 +64,13 @@
 	return s.checker.sent, s.checker.complete
 }
 
+// LagsChecked returns how often the time was checked in which an accepted version came into force at an entry instance.
+func (s *Soak) LagsChecked() int {
+	s.checker.mu.Lock()
+	defer s.checker.mu.Unlock()
+	return s.checker.lagsChecked
+}
+
 // Run runs the schedule and returns the violated guarantees. It returns a *StartError if the system does not serve
 // requests before the first fault.
 func (s *Soak) Run(ctx context.Context) ([]string, error) {
@@ -90,8 +98,8 @@
 	s.group.Wait()
 	s.checkEnd(ctx)
 	s.checkStatements(s.checker.answers)
-	for _, e := range s.system.Entries {
-		s.checker.checkFirstPlans(filepath.Join(s.Folder, e.Name+".log"))
+	for i := range s.system.Entries {
+		s.checkPlans(i)
 	}
 	return s.checker.violations, nil
 }
--- a/standin/internal/soaker/statements.go
+++ b/standin/internal/soaker/statements.go
@@ -55,11 +55,14 @@
 	return false
 }
 
-// disturb records a disturbance of entry instance i.
-func (s *Soak) disturb(i int) {
-	s.disturbances.record(strings.TrimPrefix(s.system.CallerURL(i), "http://"))
+// callerAddress returns the address under which callers reach entry instance i.
+func (s *Soak) callerAddress(i int) string {
+	return strings.TrimPrefix(s.system.CallerURL(i), "http://")
 }
 
+// disturb records a disturbance of entry instance i.
+func (s *Soak) disturb(i int) { s.disturbances.record(s.callerAddress(i)) }
+
 // injectStatement has a target, or all of them, say something in their answers.
 func (s *Soak) injectStatement(ctx context.Context, f fault) {
 	switch f.kind {
--- a/standin/internal/trials/soak_test.go
+++ b/standin/internal/trials/soak_test.go
@@ -37,7 +37,7 @@
 				t.Error(line)
 			}
 			sent, complete := s.Counts()
-			t.Logf("%d of %d requests served", complete, sent)
+			t.Logf("%d of %d requests served, %d lags of plans checked", complete, sent, s.LagsChecked())
 			is.True(sent > 100)
 		})
 	}
