A disk that another one at its address shows to be lost gives up its vote at once

Cause: a new disk was admitted only after the former one had been silent for 6 s, counted anew by each leader. When the leader's disk was among the lost, three former identities of five held votes at the same time. Now a new disk whose former one does not answer is admitted at once if it stands at the same address, since two processes can't serve one address; at another address the silence counts as before, so that two processes under one name do not replace each other. A disk without a vote asks to join every two heartbeats instead of once in an election timeout. Votes are exchanged as before, one change at a time, by a replica that holds everything committed.

Evidence: TestDisksLostInTurnLeaveAGroup (200 schedules of 8 losses, half of them the leader's) failed in its first schedule.

--- a/core/replicator/admission_test.go
+++ b/core/replicator/admission_test.go
@@ -83,6 +83,65 @@
 	is.Equal(forwarded[0].GetFrom().GetName(), "c9")
 }
 
+// catchUpTime is how long after the return of a replica with an empty disk the next disk may be lost. It is four election
+// time-outs, as in the smallest deployment.
+const catchUpTime = 400 * time.Millisecond
+
+// loseDisk makes a replica lose its disk, lets it return after a short time, and waits for catchUpTime.
+func (g *group) loseDisk(n *testReplica) {
+	n.up = false
+	g.runFor(30 * time.Millisecond)
+	g.replaceDisk(n)
+	g.runFor(catchUpTime)
+}
+
+// Guards against a group that never elects a leader again: disks are lost one at a time, one of them the leader's, and
+// each lost disk keeps its vote until a leader has found it silent for as long as an instance that may come back.
+func TestDisksLostInTurnLeaveAGroup(t *testing.T) {
+	for seed := range uint64(200) {
+		is := is.New(t)
+		g := newGroup(t, seed, 5)
+		g.timing.ReplaceAfter = 6 * g.timing.Election
+		for _, n := range g.replicas {
+			g.boot(n)
+		}
+		g.runFor(5 * time.Second)
+		for range 8 {
+			l := g.leader()
+			is.True(l != nil)
+			g.propose(l)
+			lost := g.replicas[g.pick(len(g.replicas)-1)]
+			if g.pick(1) == 0 {
+				lost = l
+			}
+			g.loseDisk(lost)
+			if !g.allVotersIntact() {
+				t.Fatalf("seed %d: a lost disk still has a vote", seed)
+			}
+		}
+		g.checkAcknowledged(g.converge())
+	}
+}
+
+// Guards against two processes started under one name by mistake, at two addresses, that replace each other in turn.
+func TestProcessesUnderOneNameDoNotReplaceEachOther(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 1, 3)
+	g.runFor(time.Second)
+	l := g.leader()
+	other := g.newMember("c2")
+	if l.disk.self.GetName() == "c2" {
+		other.Name = "c3"
+	}
+	other.Address = "10.0.0.9:7000"
+	for range 100 {
+		l.Step(l.clock, &wire.Message{Kind: wire.MessageKind_MESSAGE_JOIN, From: other})
+		g.runFor(20 * time.Millisecond)
+	}
+	is.Equal(len(l.Members()), 3)
+	is.True(!l.isMember(idOf(other)))
+}
+
 // With more instances than voters, those without a vote still replicate everything and do not slow the group down; one
 // of them that stops is removed.
 func TestMoreReplicasThanVoters(t *testing.T) {
--- a/core/replicator/group_test.go
+++ b/core/replicator/group_test.go
@@ -73,6 +73,7 @@
 	naiveVote bool
 	// naiveDate dates a follower's state by when the leader's message arrived.
 	naiveDate bool
+	timing    Timing
 }
 
 // ack is an acknowledged index, and the time of each replica's clock at that moment, by the replica's position.
@@ -81,6 +82,14 @@
 	clocks []time.Time
 }
 
+// clockOf returns the time of a replica's clock at the acknowledgement, or zero if it was added later.
+func (a *ack) clockOf(position int) time.Time {
+	if position >= len(a.clocks) {
+		return time.Time{}
+	}
+	return a.clocks[position]
+}
+
 var testTiming = Timing{
 	Election:     100 * time.Millisecond,
 	Heartbeat:    20 * time.Millisecond,
@@ -101,6 +110,7 @@
 		acked:   map[uint64]uint64{},
 		pending: map[uint64]uint64{},
 		blocked: map[[2]string]bool{},
+		timing:  testTiming,
 	}
 	var members []*wire.Member
 	for i := range size {
@@ -127,7 +137,7 @@
 	n.Replica = &Replica{
 		Group:     n.disk.group,
 		Self:      n.disk.self,
-		Timing:    testTiming,
+		Timing:    g.timing,
 		Random:    g.random,
 		MaxVoters: len(g.names),
 	}
@@ -275,7 +285,7 @@
 			at = n.noVoteUntil.Add(-testTiming.Election)
 		}
 		for k := len(g.acks) - 1; k >= 0; k-- {
-			if !g.acks[k].clocks[i].Before(at) {
+			if !g.acks[k].clockOf(i).Before(at) {
 				continue
 			}
 			if g.acks[k].index > n.Committed() {
--- a/core/replicator/membership.go
+++ b/core/replicator/membership.go
@@ -151,13 +151,19 @@
 }
 
 // mayJoin reports whether a new replica may join. It may not while another disk of its name still answers: two
-// processes started under one name by mistake must not replace each other in turn.
+// processes started under one name by mistake must not replace each other in turn. Two processes can't serve one address,
+// so there the new replica shows that the other disk is gone. If it had to be silent for Timing.ReplaceAfter, counted
+// anew by each leader, several disks lost in turn would keep their votes at the same time.
 func (r *Replica) mayJoin(now time.Time, j *wire.Member) bool {
 	at := predecessor(r.log.config(), j)
 	if at < 0 {
 		return true
 	}
-	return r.silent(now, r.log.config().GetMembers()[at])
+	former := r.log.config().GetMembers()[at]
+	if _, answers := r.Match(now, former); answers {
+		return false
+	}
+	return former.GetAddress() == j.GetAddress() || r.silent(now, former)
 }
 
 // silent reports whether a member has not answered this leader for Timing.ReplaceAfter, counted at the earliest from
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -246,6 +246,8 @@
 		r.electionAt = now.Add(r.Timing.Heartbeat)
 	}
 	if !r.isVoter(idOf(r.Self)) {
+		// Not after an election timeout: the group has less time than that to give a new disk its vote.
+		r.electionAt = now.Add(2 * r.Timing.Heartbeat)
 		r.requestJoin()
 		return
 	}
