--- a/core/replicator/admission_test.go
+++ b/core/replicator/admission_test.go
@@ -1,6 +1,9 @@
 package replicator
 
 import (
+	"fmt"
+	"os"
+	"regexp"
 	"testing"
 	"time"
 
@@ -123,6 +126,57 @@
 	}
 }
 
+// deployed returns the timing of the deployment, at the scale of the tests.
+func deployed(t *testing.T) Timing {
+	t.Helper()
+	is := is.New(t)
+	settings, err := os.ReadFile("../../deploy/controller.ini")
+	is.NoErr(err)
+	value := func(key string) time.Duration {
+		m := regexp.MustCompile(`(?m)^` + key + ` = (\S+)$`).FindSubmatch(settings)
+		is.True(m != nil)
+		d, err := time.ParseDuration(string(m[1]))
+		is.NoErr(err)
+		return d
+	}
+	scale := value("election") / testTiming.Election
+	return Timing{
+		Election: value("election") / scale, Heartbeat: value("heartbeat") / scale, ReplaceAfter: value("replace") / scale,
+	}
+}
+
+// Guards against a group that never elects a leader again: instances are lost for good one at a time, one of them the
+// leader, and each keeps its vote until another leader has found it silent, although its successor is there.
+func TestInstancesReplacedInTurnLeaveAGroup(t *testing.T) {
+	for seed := range uint64(200) {
+		g := newGroup(t, seed, 5)
+		g.timing = deployed(t)
+		for _, n := range g.replicas {
+			g.boot(n)
+		}
+		g.runFor(5 * time.Second)
+		for i := range 6 {
+			l := g.leader()
+			if l == nil {
+				t.Fatalf("seed %d: no leader after %d losses", seed, i)
+			}
+			g.propose(l)
+			lost := l
+			for g.pick(1) == 0 || !lost.up {
+				lost = g.replicas[g.pick(len(g.replicas)-1)]
+			}
+			lost.up = false
+			g.runFor(30 * time.Millisecond)
+			g.add(fmt.Sprintf("successor%d", i))
+			g.runFor(catchUpTime)
+		}
+		g.runFor(time.Second)
+		if g.leader() == nil {
+			t.Fatalf("seed %d: no leader at the end", seed)
+		}
+	}
+}
+
 // Guards against two processes started under one name by mistake, at two addresses, that replace each other in turn.
 func TestProcessesUnderOneNameDoNotReplaceEachOther(t *testing.T) {
 	is := is.New(t)
