A name that can't be encoded is refused, and stops no other news

Cause: the id comes from the query, where nothing checks it as JSON would; a message with the record can't be encoded, so nothing in it was sent, at each call anew.

The class: what one peer's input can't encode must not stop what all others get. Looked for elsewhere: leaves of unknown targets went around all checks of the format; an affinity key that is no UTF-8 made calls to the object's owner fail, and a sound instance was not called for a second. Bodies are JSON, whose strings are always valid; what arrives in messages was checked when it was decoded; hosts, losses, limits and backoffs name targets of records.

--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -70,8 +70,12 @@
 // Leave records that a target has left. An incarnation of zero stands for the one known here. If the target is unknown
 // and names no incarnation, Leave returns an UnknownTargetError, and the target tries another controller: without an
 // incarnation, the record could not override delayed announcements of the target. A leave of an incarnation older than
-// the known one is ignored. As in Announce, a NoQuorumError means that the record was not acknowledged in time.
+// the known one is ignored. As in Announce, a NoQuorumError means that the record was not acknowledged in time, and an
+// error of registrar.CheckName that the name is malformed.
 func (x *Exchanger) Leave(ctx context.Context, name string, incarnation uint64) error {
+	if err := registrar.CheckName(name); err != nil {
+		return err
+	}
 	x.mu.Lock()
 	record, known := x.gossip.Target(name)
 	x.mu.Unlock()
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sort"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 
@@ -50,9 +51,13 @@
 
 // CheckFormat returns an AnnouncementError if an announcement is malformed, whatever the catalogue allows.
 func CheckFormat(r *wire.Record) error {
+	if err := CheckName(r.GetName()); err != nil {
+		return err
+	}
+	if !encodable(r) {
+		return &AnnouncementError{"service, region, zone", "UTF-8", r.GetService()}
+	}
 	switch {
-	case r.GetName() == "" || len(r.GetName()) > maxNameLength:
-		return &AnnouncementError{"name", "1 to 128 characters", r.GetName()}
 	case r.GetIncarnation() == 0:
 		return &AnnouncementError{"incarnation", "a number above 0 that grows with each start", "0"}
 	case r.GetSlots() < 1 || r.GetSlots() > maxSlots:
@@ -66,6 +71,25 @@
 	return nil
 }
 
+// CheckName returns an AnnouncementError if a target's name is malformed.
+func CheckName(name string) error {
+	if name == "" || len(name) > maxNameLength || !utf8.ValidString(name) {
+		return &AnnouncementError{"name", "1 to 128 characters in UTF-8", name}
+	}
+	return nil
+}
+
+// encodable reports whether a message can hold a record. A message with one that it can't hold is not sent at all, nor
+// are the other records in it.
+func encodable(r *wire.Record) bool {
+	for _, text := range []string{r.GetName(), r.GetService(), r.GetAddress(), r.GetRegion(), r.GetZone()} {
+		if !utf8.ValidString(text) {
+			return false
+		}
+	}
+	return true
+}
+
 func checkAgainstCatalogue(c *cataloguer.Catalogue, r *wire.Record) error {
 	service, ok := c.Service(r.GetService())
 	if !ok {
@@ -82,8 +106,12 @@
 }
 
 // Merge stores a record with a new lease and reports whether it did. It does not if the stored record of the same
-// target is as new or newer, if a target with a higher incarnation holds the address, or if MaxTargets is reached.
+// target is as new or newer, if a target with a higher incarnation holds the address, if MaxTargets is reached, or if no
+// message could hold the record.
 func (g *Registrar) Merge(now time.Time, r *wire.Record) bool {
+	if !encodable(r) {
+		return false
+	}
 	if g.registrations == nil {
 		g.registrations = map[string]*registration{}
 	}
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -127,6 +127,8 @@
 		change func(r *wire.Record)
 	}{
 		{"name", func(r *wire.Record) { r.Name = "" }},
+		{"name", func(r *wire.Record) { r.Name = "t\xff" }},
+		{"service, region, zone", func(r *wire.Record) { r.Zone = "z\xff" }},
 		{"incarnation", func(r *wire.Record) { r.Incarnation = 0 }},
 		{"slots", func(r *wire.Record) { r.Slots = 0 }},
 		{"load", func(r *wire.Record) { r.Load = -1 }},
--- a/entry/internal/carrier/organisation.go
+++ b/entry/internal/carrier/organisation.go
@@ -3,8 +3,10 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-kit/log/level"
 
@@ -65,12 +67,17 @@
 	return &out
 }
 
-// objectName returns the name of the request's object; empty if the route is not sticky or the request has no key.
+// objectName returns the name of the request's object; empty if the route is not sticky or the request has no key. A
+// key may consist of any bytes, but calls to other instances hold names in UTF-8 only.
 func (j *job) objectName() string {
 	if !j.route.GetSticky() || j.call.Key == "" {
 		return ""
 	}
-	return j.route.GetName() + "/" + j.call.Key
+	key := j.call.Key
+	if !utf8.ValidString(key) {
+		key = strconv.QuoteToASCII(key)
+	}
+	return j.route.GetName() + "/" + key
 }
 
 // regionBoundName returns a second name of the object for organisations that are bound to regions. If the object's
