Answers without end are given up, in the head and in the body

Cause: the head of an answer was read without a limit until the attempt's deadline. A body was limited to 8 MiB each, but not all together, and one with a false length was then read to its end to be discarded. Now a head, with the interim answers before it, has 64 KiB; the bodies being read share an eighth of the memory, beyond 64 KiB each, and the largest is given up first, since those without end are larger than sound ones; buffers grow by what has arrived, not by the stated length; the rest is not read. The class, elsewhere: heads of answers on our own interface (64 KiB instead of the library's 10 MB); bodies there are streamed.

--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -32,6 +32,10 @@
 // off answers for other reasons, too, and a popular request is in flight at many of them.
 const confirmedLosses = 3
 
+// answerMemoryPart is the part of the memory, one in so many bytes, that answers which are being read may take. Their
+// buffers are copied as they grow, and the old ones wait for the collector.
+const answerMemoryPart = 8
+
 // planProgram holds the services of an entry instance that routes by a plan.
 type planProgram struct {
 	settings *config.Config
@@ -64,7 +68,7 @@
 	}
 	p.carrier = &carrier.Carrier{
 		Self: settings.Name, Region: settings.Region, Zone: settings.Zone, Codec: translator.Codec{}, Views: p.watcher,
-		Sender: &pooler.Pooler{}, Quarantine: quarantine, Logger: p.logger, Metrics: carrier.NewMetrics(p.registry),
+		Sender: &pooler.Pooler{AnswerMemory: settings.MemoryLimit / answerMemoryPart}, Quarantine: quarantine, Logger: p.logger, Metrics: carrier.NewMetrics(p.registry),
 	}
 	p.locator = &locator.Locator{
 		Self: settings.Name, Dialer: &dialer.Dialer{HTTP1Only: true}, Assigner: p.carrier, Logger: p.logger,
--- a/entry/internal/forwarder/connections.go
+++ b/entry/internal/forwarder/connections.go
@@ -13,6 +13,7 @@
 	"chervilrail.example/core/balancer"
 	"chervilrail.example/core/cataloguer"
 	"chervilrail.example/core/granter"
+	"chervilrail.example/core/listener"
 	"chervilrail.example/core/resetter"
 	"chervilrail.example/entry/internal/directory"
 )
@@ -89,6 +90,8 @@
 		DisableCompression:  true,
 		WriteBufferSize:     bufferSize,
 		ReadBufferSize:      bufferSize,
+		// Bytes without end in place of a head would otherwise take megabytes for each attempt.
+		MaxResponseHeaderBytes: listener.MaxHeader,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil || target.Region == l.region {
--- /dev/null
+++ b/entry/internal/pooler/endless_test.go
@@ -0,0 +1,103 @@
+package pooler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// pour writes the same bytes until the connection is closed.
+func pour(c net.Conn, b []byte) {
+	for {
+		if _, err := c.Write(b); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against instances that are killed for their memory, with all their requests, by targets that send bytes without
+// end in place of a head.
+func TestEndlessHeadIsGivenUp(t *testing.T) {
+	for name, bytes := range map[string]string{
+		"no answer":       "\x00",
+		"status line":     "HTTP/1.1 200 OK ",
+		"one header":      "a",
+		"many headers":    "X-Some-Header: some text\r\n",
+		"interim answers": "HTTP/1.1 100 Continue\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := startTarget(t, func(c net.Conn, _ int) {
+				if strings.HasSuffix(name, "header") || strings.HasSuffix(name, "headers") {
+					write(c, "HTTP/1.1 200 OK\r\n")
+				}
+				pour(c, []byte(strings.Repeat(bytes, 4096)))
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			began := time.Now()
+			_, outcome, err := (&Pooler{}).Send(ctx, target.address, request("x"))
+			is.Equal(outcome, Broken)
+			is.True(time.Since(began) < time.Second) // not at the deadline
+			var tooLarge *AnswerTooLargeError
+			is.True(errors.As(err, &tooLarge) || strings.Contains(err.Error(), "malformed"))
+		})
+	}
+}
+
+// Guards against the same by bodies without end, many at once, and against sound answers that are given up for them.
+func TestEndlessBodiesDoNotTakeTheMemory(t *testing.T) {
+	const memory = 8 << 20
+	sound := strings.Repeat("s", 1<<20)
+	for name, head := range map[string]string{
+		"without a length": "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n",
+		"false length":     "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 999999999999\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			faulty := startTarget(t, func(c net.Conn, _ int) {
+				write(c, head)
+				pour(c, make([]byte, 64<<10))
+			})
+			healthy := startTarget(t, func(c net.Conn, _ int) {
+				write(c, "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 1048576\r\n\r\n"+sound)
+			})
+			p := &Pooler{AnswerMemory: memory}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			var group sync.WaitGroup
+			for range 40 {
+				group.Go(func() {
+					_, outcome, err := p.Send(ctx, faulty.address, request("x"))
+					var tooLarge *AnswerTooLargeError
+					if outcome != Broken || !errors.As(err, &tooLarge) {
+						t.Errorf("outcome %v, %v", outcome, err)
+					}
+				})
+			}
+			for range 20 {
+				answer, outcome, err := p.Send(ctx, healthy.address, request("x"))
+				is.NoErr(err)
+				is.Equal(outcome, Answered)
+				is.Equal(len(answer.Body), len(sound))
+				p.buffers.mu.Lock()
+				held := p.buffers.total
+				p.buffers.mu.Unlock()
+				is.True(held <= memory)
+			}
+			group.Wait()
+			is.Equal(p.buffers.total, int64(0))
+			runtime.GC()
+			var used runtime.MemStats
+			runtime.ReadMemStats(&used)
+			is.True(used.HeapAlloc < 4*memory)
+		})
+	}
+}
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -6,9 +6,9 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,8 +29,6 @@
 	maxIdleTime = 4 * time.Second
 	// maxIdle limits the idle connections kept to one target.
 	maxIdle = 8
-	// maxAnswerSize is the size of the largest answer body, in bytes: an answer is buffered until it is complete.
-	maxAnswerSize = 8 << 20
 	// maxUnexpectedAnswers is how many answers to other requests are skipped before the request counts as broken.
 	maxUnexpectedAnswers = 2
 	bufferSize           = 4 << 10
@@ -74,6 +72,12 @@
 // Pooler manages the idle connections and the requests in flight. Its zero value is ready; it is safe for concurrent
 // use.
 type Pooler struct {
+	// AnswerMemory is how much memory the answers that are being read may take together, in bytes; zero stands for
+	// 64 MiB. Set it before use.
+	AnswerMemory int64
+
+	buffers buffers
+
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
 	// pending are the requests in flight, by their connections.
@@ -82,6 +86,8 @@
 
 type conn struct {
 	net.Conn
+	evictable
+	head    *headReader
 	reader  *bufio.Reader
 	address netip.AddrPort
 	// fresh is set until the connection has carried a request.
@@ -109,7 +115,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	encoded := encode(r)
 	p.addPending(c, len(encoded))
-	answer, outcome, err := c.roundTrip(r, encoded)
+	answer, outcome, err := c.roundTrip(r, encoded, &p.buffers)
 	p.removePending(c)
 	done := stop()
 	if outcome != Answered {
@@ -141,7 +147,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), address: address, fresh: true}, nil
+	head := &headReader{Conn: raw}
+	c := &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, bufferSize), address: address, fresh: true}
+	c.answerMemory = cmp.Or(p.AnswerMemory, defaultAnswerMemory)
+	return c, nil
 }
 
 func (p *Pooler) take(address netip.AddrPort) *conn {
@@ -226,7 +235,7 @@
 }
 
 // roundTrip writes the request and reads its answer.
-func (c *conn) roundTrip(r *Request, encoded []byte) (*Answer, Outcome, error) {
+func (c *conn) roundTrip(r *Request, encoded []byte, held *buffers) (*Answer, Outcome, error) {
 	n, err := c.Write(encoded)
 	if err != nil {
 		if n == 0 && c.fresh {
@@ -235,7 +244,7 @@
 		return nil, Broken, err
 	}
 	for range maxUnexpectedAnswers + 1 {
-		answer, err := c.read(r)
+		answer, err := c.read(r, held)
 		if err != nil {
 			return nil, Broken, err
 		}
@@ -260,30 +269,22 @@
 	return b.Bytes()
 }
 
-// read reads one complete answer and skips interim ones. An answer without a length ends when its connection is closed;
-// if the connection is reset instead, the read fails, so that the answer never looks complete.
-func (c *conn) read(r *Request) (*Answer, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, err
-		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize+1))
-		_ = response.Body.Close()
-		if err != nil {
-			return nil, err
-		}
-		if len(body) > maxAnswerSize {
-			return nil, &AnswerTooLargeError{Address: c.address}
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		if response.Close {
-			response.Header.Set("Connection", "close")
-		}
-		return &Answer{response.StatusCode, response.Header, body}, nil
+// read reads one complete answer. One without a length ends when its connection is closed; if the connection is reset
+// instead, the read fails, so that the answer never looks complete.
+func (c *conn) read(r *Request, held *buffers) (*Answer, error) {
+	response, err := c.readHead(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := c.readBody(response.Body, response.ContentLength, held)
+	if err != nil {
+		return nil, err // the body is not closed: that would read the rest of it
 	}
+	_ = response.Body.Close()
+	if response.Close {
+		response.Header.Set("Connection", "close")
+	}
+	return &Answer{response.StatusCode, response.Header, body}, nil
 }
 
 // reusable reports whether the next request may use the connection: unexpected bytes would be taken for its answer.
@@ -305,12 +306,6 @@
 	return "answers to other requests from " + e.Address.String()
 }
 
-// AnswerTooLargeError reports that an answer's body is larger than maxAnswerSize.
-type AnswerTooLargeError struct{ Address netip.AddrPort }
-
-// Error implements error.
-func (e *AnswerTooLargeError) Error() string { return "answer too large from " + e.Address.String() }
-
 // DialFailed reports whether an error comes from opening a connection, so that no request was sent on it.
 func DialFailed(err error) bool {
 	var op *net.OpError
