Leaves of targets are on the disks of a majority before they are acknowledged

Cause: leaves were held in memory only, and entry instances learn of one 50 ms after its acknowledgement. Now each controller writes the leaves that it receives, from targets or from other controllers, to a file of its own before it answers: one append and one sync for all that wait, in a goroutine of its own, so that a stalled or full disk delays only what carries leaves. After a restart they are in the state from which instances and controllers get their news. Heartbeats are still not written. Weighed against the replicated log: there no leave could be acknowledged while no controller leads, now the majority is enough, as before.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -156,8 +156,9 @@
 	work := &counter.Counter{Logger: logs}
 	exchange := &exchanger.Exchanger{
 		Self: settings.Name, Region: settings.Region, Consensus: consensus,
-		Dialer:    &dialer.Dialer{Keys: controlKeys, HTTP1Only: true},
-		HostStore: &storer.HostStore{Folder: settings.Folder}, Counter: work, Logger: logs,
+		Dialer:     &dialer.Dialer{Keys: controlKeys, HTTP1Only: true},
+		HostStore:  &storer.HostStore{Folder: settings.Folder},
+		LeaveStore: &storer.LeaveStore{Folder: settings.Folder}, Counter: work, Logger: logs,
 	}
 	consensus.OnRoutingChange = exchange.NotifyWatchers
 	change := &changer.Changer{Consensus: consensus, Forwarder: exchange, Logger: logs}
--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -18,7 +18,7 @@
 // it and were then disconnected, requests would still be sent to a target that was assured it receives none.
 //
 // It returns an error of registrar.CheckFormat for a malformed record, a NotJoinedError before this controller has
-// joined the group, and a NoQuorumError if a leaving target is not acknowledged in time.
+// joined the group, and a NoQuorumError or a NotSavedError if a leaving target is not acknowledged in time.
 func (x *Exchanger) Announce(ctx context.Context, r *wire.Record) error {
 	if err := registrar.CheckFormat(r); err != nil {
 		return err
@@ -31,7 +31,8 @@
 	return x.accept(ctx, r)
 }
 
-// accept records an announcement and, unless the target is ready, waits for a majority of the voters to acknowledge it.
+// accept records an announcement and, unless the target is ready, waits until it is on the disks of this controller and of
+// a majority of the voters.
 func (x *Exchanger) accept(ctx context.Context, r *wire.Record) error {
 	var position uint64
 	x.update(func(now time.Time) {
@@ -49,6 +50,9 @@
 	if r.GetState() == wire.TargetState_TARGET_READY {
 		return nil
 	}
+	if err := x.saveLeaves(ctx, []*wire.Record{r}); err != nil {
+		return err
+	}
 	return x.awaitQuorum(ctx, r.GetName(), position)
 }
 
--- a/controller/internal/exchanger/errors.go
+++ b/controller/internal/exchanger/errors.go
@@ -1,5 +1,7 @@
 package exchanger
 
+import "strconv"
+
 // NoQuorumError reports that this controller can't reach a majority of the voters.
 type NoQuorumError struct{}
 
@@ -25,3 +27,11 @@
 
 // Error implements error.
 func (e *UnknownTargetError) Error() string { return "target " + e.Target + " is not known here" }
+
+// NotSavedError reports that the leaves of some targets are not on this controller's disk yet.
+type NotSavedError struct{ Leaves int }
+
+// Error implements error.
+func (e *NotSavedError) Error() string {
+	return strconv.Itoa(e.Leaves) + " leaves of targets not saved"
+}
--- a/controller/internal/exchanger/exchanger.go
+++ b/controller/internal/exchanger/exchanger.go
@@ -53,12 +53,16 @@
 	Dialer    *dialer.Dialer
 	// HostStore keeps the hosts of objects across restarts. If it is nil, they are not stored.
 	HostStore HostStore
-	Counter   *counter.Counter
-	Logger    log.Logger
+	// LeaveStore keeps the targets that have left across restarts. If it is nil, they are not stored.
+	LeaveStore LeaveStore
+	Counter    *counter.Counter
+	Logger     log.Logger
 
-	mu      sync.Mutex
-	gossip  gossiper.Gossiper
-	shared  sharedChanges
+	mu     sync.Mutex
+	gossip gossiper.Gossiper
+	shared sharedChanges
+	// leaves is nil if LeaveStore is.
+	leaves  *leaveKeeper
 	changed chan struct{}
 	// ordinaryPending is set while a notification about ordinary changes is scheduled.
 	ordinaryPending bool
@@ -102,6 +106,7 @@
 	x.changed, x.acknowledged = make(chan struct{}), make(chan struct{})
 	x.peers = map[string]*peer{}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
+	x.restoreLeaves()
 	x.group.Go(x.maintain)
 	x.loadHosts()
 	if x.HostStore != nil {
@@ -315,9 +320,10 @@
 	return nil
 }
 
-// Exchange implements the call from other controllers.
+// Exchange implements the call from other controllers. It returns without an error only once the leaves of targets in the
+// request are on the disk.
 func (x *Exchanger) Exchange(
-	_ context.Context, r *connect.Request[wire.ExchangeRequest],
+	ctx context.Context, r *connect.Request[wire.ExchangeRequest],
 ) (*connect.Response[wire.ExchangeResponse], error) {
 	x.Counter.Add(counter.Received, 1)
 	var response *wire.ExchangeResponse
@@ -326,6 +332,9 @@
 		response = x.gossip.HandleRequest(now, r.Msg)
 		x.logDepartures(r.Msg, before)
 	})
+	if err := x.saveLeaves(ctx, r.Msg.GetRecords()); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
 	return connect.NewResponse(response), nil
 }
 
--- a/controller/internal/exchanger/unreadable_test.go
+++ b/controller/internal/exchanger/unreadable_test.go
@@ -20,7 +20,9 @@
 func assertNewsPasses(t *testing.T, x *Exchanger) {
 	t.Helper()
 	is := is.New(t)
+	x.mu.Lock()
 	request := x.gossip.BuildRequest(time.Now(), "c2")
+	x.mu.Unlock()
 	_, err := proto.Marshal(request)
 	is.NoErr(err)
 	is.Equal(len(request.GetRecords()), 1)
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -159,6 +159,14 @@
 	return max(m.changed, m.outgoing)
 }
 
+// Restore merges records of targets that have left, which this controller has kept since an earlier run.
+func (g *Gossiper) Restore(now time.Time, records []*wire.Record) {
+	g.init()
+	for _, r := range records {
+		g.mergeRecord(now, r)
+	}
+}
+
 // passOn returns the change counter that the other controllers have to acknowledge before they hold a target's record,
 // which an announcement has repeated. Another controller may have received the first announcement, passed it on only to
 // this one, and died: what is not sent from here, nobody acknowledges.
--- a/core/storer/record.go
+++ b/core/storer/record.go
@@ -20,6 +20,7 @@
 	recordIdentity
 	recordBatch
 	recordHosts
+	recordLeave
 )
 
 const (
