--- a/core/storer/recovery.go
+++ b/core/storer/recovery.go
@@ -171,7 +171,7 @@
 		out.Entries = appendEntry(out.Entries, e, out.Snapshot.GetIndex())
 	case recordReset:
 		out.Entries = nil
-	case recordSnapshot, recordIdentity, recordBatch, recordHosts:
+	case recordSnapshot, recordIdentity, recordBatch, recordHosts, recordLeave:
 		return &formatError{"a record of another file"}
 	}
 	return nil
