Tests: enforcers are started once all of the region is set up

newRegion called MarkNew, and wrote the map of enforcers, while an enforcer that it had started might call Allot and read the map: the race that the detector saw in two tests.

--- a/entry/internal/enforcer/enforcer_test.go
+++ b/entry/internal/enforcer/enforcer_test.go
@@ -121,6 +121,8 @@
 		}
 		r.enforcers[name] = a
 		c.allotter.MarkNew(listed[i])
+	}
+	for name, a := range r.enforcers { // each may call the controller and the others from now on
 		if name == "frozen" {
 			continue
 		}
