Heartbeats for services that no plan names take no target out of use

Cause: any newer record replaced the one of its name or address before anything asked whether its service exists; the targets' own heartbeats were then of an older incarnation.

Now such heartbeats are kept apart, with the name and service as key, and replicated among the controllers, so that all of them admit the targets together with the plan that names their service; a leave is recorded unless its name is in use for another service.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -160,7 +160,7 @@
 		HostStore:  &storer.HostStore{Folder: settings.Folder},
 		LeaveStore: &storer.LeaveStore{Folder: settings.Folder}, Counter: work, Logger: logs,
 	}
-	consensus.OnRoutingChange = exchange.NotifyWatchers
+	consensus.OnRoutingChange = exchange.RoutingChanged
 	change := &changer.Changer{Consensus: consensus, Forwarder: exchange, Logger: logs}
 	allocate := &allocator.Allocator{Consensus: consensus, Forwarder: exchange, Logger: logs}
 	handlers := &server.Server{
--- a/controller/internal/counter/counter.go
+++ b/controller/internal/counter/counter.go
@@ -24,6 +24,8 @@
 	Abandoned
 	// Moved are announcements of targets that announced themselves to another controller before.
 	Moved
+	// Reserved are announcements for services that no plan names.
+	Reserved
 	// Published are announcements that all other controllers and all entry instances receive.
 	Published
 	// Watches are answered calls of entry instances for changes.
@@ -47,7 +49,7 @@
 
 // names are the labels of the kinds in metrics and logs.
 var names = [kinds]string{
-	"announcements", "abandoned", "moved", "published", "watches", "sets", "watchedRecords", "packedBytes", "exchanges", "exchangedRecords",
+	"announcements", "abandoned", "moved", "reserved", "published", "watches", "sets", "watchedRecords", "packedBytes", "exchanges", "exchangedRecords",
 	"received", "delivered",
 }
 
--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -13,7 +13,7 @@
 	"chervilrail.example/core/wire"
 )
 
-// Announce accepts a target's announcement and shares it with the other controllers. For a leaving target, it returns
+// Announce accepts a target's announcement and shares it with the other controllers, once a plan names its service. For a leaving target, it returns
 // without an error only once a majority of the voters have acknowledged the announcement. If only this controller had
 // it and were then disconnected, requests would still be sent to a target that was assured it receives none.
 //
@@ -28,6 +28,9 @@
 	if len(x.Consensus.Routing().Members) == 0 {
 		return &NotJoinedError{}
 	}
+	if x.setAside(ctx, r) {
+		return nil
+	}
 	return x.accept(ctx, r)
 }
 
--- a/controller/internal/exchanger/exchanger_test.go
+++ b/controller/internal/exchanger/exchanger_test.go
@@ -20,14 +20,22 @@
 	"chervilrail.example/core/wire"
 )
 
-// consensus is a group whose other members never answer. Its state was confirmed at the time in confirmed, if set.
+// consensus is a group whose other members never answer. Its state was confirmed at the time in confirmed, if set. Its
+// plan names the service listings, or those in services, if set.
 type consensus struct {
 	voters    []string
 	confirmed *atomic.Pointer[time.Time]
+	services  *atomic.Pointer[[]*wire.Service]
 }
 
 func (m consensus) Routing() *consenter.Routing {
-	plan := &wire.Plan{Version: 1, Organisations: []*wire.Organisation{{Name: "acme", Keys: []string{"s3cret"}}}}
+	plan := &wire.Plan{
+		Version: 1, Organisations: []*wire.Organisation{{Name: "acme", Keys: []string{"s3cret"}}},
+		Services: []*wire.Service{{Name: "listings"}},
+	}
+	if m.services != nil {
+		plan.Services = *m.services.Load()
+	}
 	out := &consenter.Routing{Revision: 1, Plan: plan, PlanWithoutKeys: planner.HashKeys(plan)}
 	for _, name := range m.voters {
 		out.Members = append(out.Members, &wire.Member{Name: name, Voter: true, Address: "127.0.0.1:1"})
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -42,6 +42,7 @@
 	}
 	out.Ratelimits = g.rateLimitsBetween(p.acked, out.GetCounter())
 	out.Backoffs = g.backoffsBetween(now, p.acked, out.GetCounter(), true)
+	out.Reserved = g.reservedBetween(p.acked, out.GetCounter())
 	out.Hosted = g.hosts.counter
 	out.Hosts = g.hosts.since(p.ackedHosts, func(m *hostEntry) bool { return m.local })
 	if p.region == g.Region {
@@ -70,6 +71,9 @@
 	g.ReportLosses(now, r.GetLosses(), false)
 	g.mergeRateLimits(r.GetRatelimits(), false)
 	g.mergeBackoffs(now, r.GetBackoffs(), false)
+	for _, record := range r.GetReserved() {
+		g.mergeReserved(now, record, false)
+	}
 	g.mergeHosts(r.GetHosts(), false)
 	g.loadTable.Record(now, gauger.Decode(r.GetLoads()), false)
 	p := g.peer(r.GetFrom())
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -61,6 +61,7 @@
 	// rateLimits are the limits that targets have named.
 	rateLimits rateLimits
 	backoffs   backoffs
+	reserve    reserve
 	// counter is incremented with every change that watchers or other controllers have to receive.
 	counter uint64
 	marks   Marks
@@ -311,6 +312,7 @@
 	g.recordInstances(g.instances.expire(now, g.counter), true, false)
 	g.losses = slices.DeleteFunc(g.losses, func(l *loss) bool { return !now.Before(l.expiresAt) })
 	g.backoffs.removeEnded(now)
+	g.expireReserved(now)
 	current, overdue := 0, []string{}
 	for name, m := range g.statuses {
 		record, _ := g.targets.Get(name)
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -116,7 +116,7 @@
 		g.registrations = map[string]*registration{}
 	}
 	old, ok := g.registrations[r.GetName()]
-	if ok && !newer(old.record, r) {
+	if ok && !Newer(old.record, r) {
 		return false
 	}
 	if !ok && len(g.registrations) >= MaxTargets {
@@ -154,11 +154,11 @@
 
 func sameIncarnation(a, b *wire.Record) bool { return a.GetIncarnation() == b.GetIncarnation() }
 
-// newer reports whether announcement r of a target is newer than old. Announcements are ordered by incarnation, then by
+// Newer reports whether announcement r of a target is newer than old. Announcements are ordered by incarnation, then by
 // state, then by sequence. If all are equal, the silent one counts as newer, because it is the less favourable state.
 // State precedes sequence because leaving is final and may be passed on by a controller that missed the target's last
 // heartbeats.
-func newer(old, r *wire.Record) bool {
+func Newer(old, r *wire.Record) bool {
 	if !sameIncarnation(old, r) {
 		return r.GetIncarnation() > old.GetIncarnation()
 	}
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -112,7 +112,7 @@
 func newestIsLeaving(sent []*wire.Record) bool {
 	newest := sent[0]
 	for _, r := range sent {
-		if newer(newest, r) {
+		if Newer(newest, r) {
 			newest = r
 		}
 	}
