A number far ahead silences no target for good

Found by looking at each number that its writer chooses (born, sequence, versions).

Cause: records are ordered by incarnation and sequence alone, and nothing bounds either. One number that the rightful writer never reaches decided for good.

Now a target that goes on announcing itself for 4 s, three times at least with growing sequences, while nothing else is heard under its name or address, overrides the record that stands against it; the override has a place in the order of records, so that all controllers and instances agree, and later incarnations, also of another target at the address, inherit it. What a target says of itself stays final: a leave is not overridden, and the overridden incarnation's leave counts at once. Late heartbeats of an ended incarnation come in less than 4 s or while the next one is heard. Leaves are stored by target and incarnation: the keeper took a lower one for stored once a higher one was. Numbers above 2^62 are refused with 400. Ruled out: comparing with our own clock (the time of day jumps and differs, on either side); the lease alone (a late heartbeat of an ended target would bring it back).

Left: a writer that repeats such heartbeats all the time can't be told from the target; heartbeats are not authenticated.

--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -44,10 +45,10 @@
 		before := x.gossip.Marks()
 		position = x.gossip.Announce(now, r)
 		x.countAnnouncement(ctx, moved, x.gossip.Marks().Watched > before.Watched)
-		if !known || old.GetState() != r.GetState() || old.GetIncarnation() != r.GetIncarnation() {
-			_ = level.Info(x.Logger).Log("msg", "target announced", "target", r.GetName(), "incarnation", r.GetIncarnation(),
-				"sequence", r.GetSequence(), "service", r.GetService(), "address", r.GetAddress(), "zone", r.GetZone(),
-				"state", r.GetState(), "cold", time.Duration(r.GetCold()))
+		merged, _ := x.gossip.Target(r.GetName())
+		if !known || old.GetState() != merged.GetState() || old.GetIncarnation() != merged.GetIncarnation() ||
+			old.GetOverrides() != merged.GetOverrides() {
+			x.logAnnouncement(merged)
 		}
 	})
 	if r.GetState() == wire.TargetState_TARGET_READY {
@@ -59,6 +60,12 @@
 	return x.awaitQuorum(ctx, r.GetName(), position)
 }
 
+func (x *Exchanger) logAnnouncement(r *wire.Record) {
+	_ = level.Info(x.Logger).Log("msg", "target announced", "target", r.GetName(), "incarnation", r.GetIncarnation(),
+		"sequence", r.GetSequence(), "service", r.GetService(), "address", r.GetAddress(), "zone", r.GetZone(),
+		"state", r.GetState(), "overrides", r.GetOverrides(), "cold", time.Duration(r.GetCold()))
+}
+
 // countAnnouncement counts an announcement: moved if the target announced itself to another controller before, published
 // if entry instances have to receive it.
 func (x *Exchanger) countAnnouncement(ctx context.Context, moved, published bool) {
@@ -78,9 +85,9 @@
 // and names no incarnation, Leave returns an UnknownTargetError, and the target tries another controller: without an
 // incarnation, the record could not override delayed announcements of the target. A leave of an incarnation older than
 // the known one is ignored. As in Announce, a NoQuorumError means that the record was not acknowledged in time, and an
-// error of registrar.CheckName that the name is malformed.
+// error of registrar that the name or the incarnation is malformed.
 func (x *Exchanger) Leave(ctx context.Context, name string, incarnation uint64) error {
-	if err := registrar.CheckName(name); err != nil {
+	if err := cmp.Or(registrar.CheckName(name), registrar.CheckIncarnation(incarnation)); err != nil {
 		return err
 	}
 	x.mu.Lock()
--- a/controller/internal/exchanger/leaves.go
+++ b/controller/internal/exchanger/leaves.go
@@ -34,19 +34,27 @@
 	logger log.Logger
 
 	mu sync.Mutex
-	// saved holds the incarnations of the targets whose leaves are on the disk.
-	saved map[string]uint64
-	// pending are the records that are not on the disk, by the target.
-	pending map[string]*wire.Record
+	// saved holds the leaves that are on the disk, pending the records of those that are not.
+	saved   map[leaveKey]bool
+	pending map[leaveKey]*wire.Record
 	// failures counts failed writes. written is closed and replaced after each write.
 	failures int
 	written  chan struct{}
 	wake     chan struct{}
 }
 
+// leaveKey identifies a leave. Those of several incarnations of a target are independent: the one with the highest number
+// need not be the one that is in use.
+type leaveKey struct {
+	target      string
+	incarnation uint64
+}
+
+func leaveOf(r *wire.Record) leaveKey { return leaveKey{r.GetName(), r.GetIncarnation()} }
+
 func newLeaveKeeper(store LeaveStore, logger log.Logger) *leaveKeeper {
 	return &leaveKeeper{
-		store: store, logger: logger, saved: map[string]uint64{}, pending: map[string]*wire.Record{},
+		store: store, logger: logger, saved: map[leaveKey]bool{}, pending: map[leaveKey]*wire.Record{},
 		written: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
@@ -58,7 +66,7 @@
 		_ = level.Error(k.logger).Log("msg", "reading leaves of targets failed", "err", err)
 	}
 	for _, r := range list {
-		k.saved[r.GetName()] = r.GetIncarnation()
+		k.saved[leaveOf(r)] = true
 	}
 	_ = level.Info(k.logger).Log("msg", "leaves of targets read", "leaves", len(list))
 	return list
@@ -98,13 +106,11 @@
 func (k *leaveKeeper) queue(records []*wire.Record) int {
 	missing := 0
 	for _, r := range records {
-		if r.GetState() == wire.TargetState_TARGET_READY || k.saved[r.GetName()] >= r.GetIncarnation() {
+		if r.GetState() == wire.TargetState_TARGET_READY || k.saved[leaveOf(r)] {
 			continue
 		}
 		missing++
-		if k.pending[r.GetName()].GetIncarnation() < r.GetIncarnation() {
-			k.pending[r.GetName()] = r
-		}
+		k.pending[leaveOf(r)] = r
 	}
 	return missing
 }
@@ -154,10 +160,8 @@
 		clear(k.saved)
 	}
 	for _, r := range records {
-		k.saved[r.GetName()] = max(k.saved[r.GetName()], r.GetIncarnation())
-		if k.pending[r.GetName()] == r {
-			delete(k.pending, r.GetName())
-		}
+		k.saved[leaveOf(r)] = true
+		delete(k.pending, leaveOf(r))
 	}
 }
 
--- a/controller/internal/exchanger/leaves_test.go
+++ b/controller/internal/exchanger/leaves_test.go
@@ -113,3 +113,20 @@
 	store.set(nil, nil)
 	is.NoErr(exchangeLeave(x))
 }
+
+// Guards against a leave that is acknowledged and not stored, because the disk holds one of another incarnation with a
+// higher number.
+func TestLeavesOfLowerIncarnationsAreStored(t *testing.T) {
+	is := is.New(t)
+	store := &fakeLeaveStore{}
+	k := newLeaveKeeper(store, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go k.run(ctx)
+	for _, incarnation := range []uint64{1 << 40, 5} {
+		r := announcement(1, wire.TargetState_TARGET_LEAVING)
+		r.Incarnation = incarnation
+		is.NoErr(k.save(ctx, []*wire.Record{r}))
+	}
+	is.Equal(len(store.list), 2)
+}
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -141,9 +141,10 @@
 func (g *Gossiper) Announce(now time.Time, r *wire.Record) uint64 {
 	g.init()
 	old, known := g.targets.Get(r.GetName())
-	if !g.targets.Merge(now, r) {
+	if !g.targets.Announce(now, r) {
 		return g.passOn(now, r.GetName())
 	}
+	r, _ = g.targets.Get(r.GetName())
 	m := g.status(r.GetName())
 	moved := !m.direct
 	m.direct = true
@@ -225,7 +226,8 @@
 func differ(a, b *wire.Record) bool {
 	return a.GetName() != b.GetName() || a.GetIncarnation() != b.GetIncarnation() || a.GetService() != b.GetService() ||
 		a.GetAddress() != b.GetAddress() || a.GetRegion() != b.GetRegion() || a.GetZone() != b.GetZone() ||
-		a.GetSlots() != b.GetSlots() || a.GetState() != b.GetState() || a.GetSilent() != b.GetSilent()
+		a.GetSlots() != b.GetSlots() || a.GetState() != b.GetState() || a.GetSilent() != b.GetSilent() ||
+		a.GetOverrides() != b.GetOverrides() || a.GetDisplaced() != b.GetDisplaced()
 }
 
 func digestOf(r *wire.Record) uint64 {
@@ -269,11 +271,11 @@
 	g.marks.Outgoing = g.counter
 }
 
-// ReportLeave records that an incarnation of a target has said in an answer that it leaves, as if the target had announced
-// it here. It reports whether that was not known.
-func (g *Gossiper) ReportLeave(now time.Time, target string, incarnation uint64) bool {
+// ReportLeave records that a target has said in an answer that it leaves, as if it had announced it here; generation is
+// that of the target's record at the entry instance. It reports whether that was not known.
+func (g *Gossiper) ReportLeave(now time.Time, target string, generation uint64) bool {
 	record, known := g.targets.Get(target)
-	if !known || record.GetIncarnation() != incarnation || g.hasLeft(target) {
+	if !known || registrar.Generation(record) != generation || g.hasLeft(target) {
 		return false
 	}
 	leaving := proto.CloneOf(record)
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 	"unicode/utf8"
 
@@ -27,6 +28,8 @@
 	retention     = time.Hour
 	maxNameLength = 128
 	maxSlots      = 1 << 16
+	// maxNumber is the highest incarnation and sequence. There is room for those that follow it.
+	maxNumber = 1 << 62
 )
 
 // Registrar holds the records. Its zero value is empty.
@@ -39,6 +42,9 @@
 type registration struct {
 	record  *wire.Record
 	expires time.Time
+	// mergedAt is when the record was stored.
+	mergedAt time.Time
+	claim    claim
 }
 
 // Check returns an AnnouncementError if an announcement is malformed or the catalogue does not allow it.
@@ -54,12 +60,17 @@
 	if err := CheckName(r.GetName()); err != nil {
 		return err
 	}
+	if err := CheckIncarnation(r.GetIncarnation()); err != nil {
+		return err
+	}
 	if !encodable(r) {
 		return &AnnouncementError{"service, region, zone", "UTF-8", r.GetService()}
 	}
 	switch {
 	case r.GetIncarnation() == 0:
 		return &AnnouncementError{"incarnation", "a number above 0 that grows with each start", "0"}
+	case r.GetSequence() > maxNumber:
+		return &AnnouncementError{"sequence", "at most 2^62", strconv.FormatUint(r.GetSequence(), 10)}
 	case r.GetSlots() < 1 || r.GetSlots() > maxSlots:
 		return &AnnouncementError{"slots", "1 to 65536", formatNumber(r.GetSlots())}
 	case r.GetLoad() < 0:
@@ -79,6 +90,14 @@
 	return nil
 }
 
+// CheckIncarnation returns an AnnouncementError if no number could follow an incarnation.
+func CheckIncarnation(incarnation uint64) error {
+	if incarnation > maxNumber {
+		return &AnnouncementError{"incarnation", "at most 2^62", strconv.FormatUint(incarnation, 10)}
+	}
+	return nil
+}
+
 // encodable reports whether a message can hold a record. A message with one that it can't hold is not sent at all, nor
 // are the other records in it.
 func encodable(r *wire.Record) bool {
@@ -106,7 +125,7 @@
 }
 
 // Merge stores a record with a new lease and reports whether it did. It does not if the stored record of the same
-// target is as new or newer, if a target with a higher incarnation holds the address, if MaxTargets is reached, or if no
+// target is as new or newer, if a target of a higher generation holds the address, if MaxTargets is reached, or if no
 // message could hold the record.
 func (g *Registrar) Merge(now time.Time, r *wire.Record) bool {
 	if !encodable(r) {
@@ -116,6 +135,9 @@
 		g.registrations = map[string]*registration{}
 	}
 	old, ok := g.registrations[r.GetName()]
+	if ok {
+		r = join(old.record, r)
+	}
 	if ok && !Newer(old.record, r) {
 		return false
 	}
@@ -125,10 +147,31 @@
 	if !g.claimAddress(r) {
 		return false
 	}
-	g.registrations[r.GetName()] = &registration{record: r, expires: now.Add(Lease)}
+	g.registrations[r.GetName()] = &registration{record: r, expires: now.Add(Lease), mergedAt: now}
 	return true
 }
 
+// join returns a record with what an earlier one of the same incarnation says for good: that the target leaves, and what
+// the incarnation overrides.
+func join(old, r *wire.Record) *wire.Record {
+	leaves := hasLeft(old) && r.GetState() < old.GetState()
+	overrides := r.GetOverrides() < old.GetOverrides()
+	if !sameIncarnation(old, r) || !leaves && !overrides {
+		return r
+	}
+	out := proto.CloneOf(r)
+	out.Overrides = max(old.GetOverrides(), r.GetOverrides())
+	if leaves {
+		out.State = old.GetState()
+	}
+	return out
+}
+
+// hasLeft reports whether a target leaves or has left by its own word.
+func hasLeft(r *wire.Record) bool {
+	return r.GetState() != wire.TargetState_TARGET_READY && !r.GetDisplaced()
+}
+
 // claimAddress assigns an address to the target that started last on it. A target that held the address before is
 // marked as gone. A delayed announcement of the former holder would otherwise direct requests for its service to the
 // present holder; the symptom is that targets refuse requests for another service.
@@ -139,13 +182,12 @@
 	if g.namesByAddress == nil {
 		g.namesByAddress = map[string]string{}
 	}
-	holder, ok := g.registrations[g.namesByAddress[r.GetAddress()]]
-	if ok && holder.record.GetName() != r.GetName() && holder.record.GetAddress() == r.GetAddress() {
-		if holder.record.GetIncarnation() > r.GetIncarnation() {
+	if holder, ok := g.holder(r); ok {
+		if Generation(holder.record) > Generation(r) {
 			return false
 		}
 		replaced := proto.CloneOf(holder.record)
-		replaced.State = wire.TargetState_TARGET_GONE
+		replaced.State, replaced.Displaced = wire.TargetState_TARGET_GONE, !hasLeft(replaced)
 		holder.record = replaced
 	}
 	g.namesByAddress[r.GetAddress()] = r.GetName()
@@ -154,11 +196,17 @@
 
 func sameIncarnation(a, b *wire.Record) bool { return a.GetIncarnation() == b.GetIncarnation() }
 
-// Newer reports whether announcement r of a target is newer than old. Announcements are ordered by incarnation, then by
-// state, then by sequence. If all are equal, the silent one counts as newer, because it is the less favourable state.
-// State precedes sequence because leaving is final and may be passed on by a controller that missed the target's last
+// Generation returns the number that orders the incarnations of a target and the holders of an address.
+func Generation(r *wire.Record) uint64 { return max(r.GetIncarnation(), r.GetOverrides()) }
+
+// Newer reports whether announcement r of a target is newer than old. Announcements are ordered by generation, incarnation,
+// state and sequence. If all are equal, the silent one counts as newer, because it is the less favourable state. State
+// precedes sequence because leaving is final and may be passed on by a controller that missed the target's last
 // heartbeats.
 func Newer(old, r *wire.Record) bool {
+	if Generation(old) != Generation(r) {
+		return Generation(r) > Generation(old)
+	}
 	if !sameIncarnation(old, r) {
 		return r.GetIncarnation() > old.GetIncarnation()
 	}
--- a/entry/internal/directory/targets.go
+++ b/entry/internal/directory/targets.go
@@ -26,8 +26,10 @@
 		e.reply <- err
 		return
 	}
-	if d.merge(now, e.record) {
-		d.RecordBroadcaster.BroadcastRecords([]*wire.Record{e.record})
+	if d.records.Announce(now, e.record) {
+		stored, _ := d.records.Get(e.record.GetName())
+		d.updateTarget(now, stored)
+		d.RecordBroadcaster.BroadcastRecords([]*wire.Record{stored})
 	}
 	e.reply <- nil
 }
@@ -41,8 +43,8 @@
 		return
 	}
 	for _, r := range e.records {
-		if registrar.Check(d.catalogue, r) == nil {
-			d.merge(now, r)
+		if registrar.Check(d.catalogue, r) == nil && d.records.Merge(now, r) {
+			d.updateTarget(now, r)
 		}
 	}
 }
@@ -55,16 +57,13 @@
 	e.reply <- d.records.All()
 }
 
-// merge stores a record if it is newer, updates the target's state and reports whether it did.
-func (d *Directory) merge(now time.Time, r *wire.Record) bool {
-	if !d.records.Merge(now, r) {
-		return false
-	}
+// updateTarget updates a target's state by its new record.
+func (d *Directory) updateTarget(now time.Time, r *wire.Record) {
 	target, ok := d.targets[r.GetName()]
 	if !ok || changed(target, r) {
 		address, err := netip.ParseAddrPort(r.GetAddress())
 		if err != nil {
-			return false
+			return
 		}
 		target = &balancer.Target{
 			Name:        r.GetName(),
@@ -85,7 +84,6 @@
 		d.stale = true
 		_ = level.Info(d.Logger).Log("msg", "target leaving", "target", target.Name, "incarnation", target.Incarnation)
 	}
-	return true
 }
 
 // coldSince returns since when a newly seen target counts as cold. Within registrar.Lease after this instance's own
--- a/entry/internal/watcher/ratelimits.go
+++ b/entry/internal/watcher/ratelimits.go
@@ -7,6 +7,7 @@
 
 	"chervilrail.example/core/gossiper"
 	"chervilrail.example/core/placer"
+	"chervilrail.example/core/registrar"
 	"chervilrail.example/core/wire"
 )
 
@@ -43,7 +44,7 @@
 // rateLimit returns the limit of a target as far as the controllers know it.
 func (w *Watcher) rateLimit(r *wire.Record) placer.RateLimit {
 	l, ok := w.state.limits[r.GetName()]
-	if !ok || l.GetIncarnation() != r.GetIncarnation() {
+	if !ok || l.GetIncarnation() != registrar.Generation(r) {
 		return placer.RateLimit{}
 	}
 	return gossiper.RateLimit(l)
--- a/entry/internal/watcher/view.go
+++ b/entry/internal/watcher/view.go
@@ -13,6 +13,7 @@
 	"chervilrail.example/core/partitioner"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/planner"
+	"chervilrail.example/core/registrar"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/locator"
 )
@@ -136,7 +137,7 @@
 		if len(records) <= maxLoggedTargets {
 			_ = level.Info(w.Logger).Log("msg", "target", "target", r.GetName(), "incarnation", r.GetIncarnation(),
 				"sequence", r.GetSequence(), "service", r.GetService(), "zone", r.GetZone(), "state", r.GetState(),
-				"silent", r.GetSilent(), "cold", time.Duration(r.GetCold()))
+				"silent", r.GetSilent(), "overrides", r.GetOverrides(), "cold", time.Duration(r.GetCold()))
 		}
 	}
 	if len(records) > maxLoggedTargets {
@@ -173,7 +174,7 @@
 			continue
 		}
 		v.Targets[record.GetService()] = append(v.Targets[record.GetService()], placer.Spec{
-			Name: record.GetName(), Incarnation: record.GetIncarnation(), Address: address,
+			Name: record.GetName(), Incarnation: registrar.Generation(record), Address: address,
 			Region: record.GetRegion(), Zone: record.GetZone(), Slots: record.GetSlots(),
 			ColdUntil: s.coldUntil[record.GetName()], Rate: coldRate(service),
 			Limit: w.rateLimit(record),
--- a/standin/internal/trials/foreign_test.go
+++ b/standin/internal/trials/foreign_test.go
@@ -41,3 +41,28 @@
 		})
 	}
 }
+
+// Guards against the same by heartbeats and leaves of the target's own service that claim a start in the far future. While
+// they hold, requests go to the target as before, or to others.
+func TestNumbersFarAheadRefuseNoRequestForGood(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 3, 4, 6)
+	for i, target := range f.targets {
+		state := "ready"
+		if i%2 == 0 {
+			state = "draining"
+		}
+		status := target.Impersonate(context.Background(), speaker.Heartbeat{
+			Controller: f.PlatformURLs()[0], ID: target.ID, State: state, Born: time.Now().Add(time.Hour), Sequence: 1 << 40,
+		})
+		is.Equal(status, http.StatusOK)
+	}
+	time.Sleep(servedWithin)
+	began := time.Now()
+	stop := f.load(4)
+	time.Sleep(2 * time.Second)
+	f.check(t, stop())
+	for _, target := range f.targets {
+		is.True(target.LastRequest().After(began))
+	}
+}
