A controller whose disk takes no bytes stays, without a vote

Cause: each failed write of the log was fatal for the process. Ending it gives no safety that the rest needs: what counts is that the replica sends nothing that relied on the write.

Now the replica is suspended at the first failed write: its unsent messages are dropped, it leads, votes and answers no more, and its callers learn that their outcome is unknown. The controller goes on answering with the state that it has, and every half second tries whether the disk takes 64 KiB; then it recovers from the disk as after a restart, with the segment first cut to what is known to be durable: after a failed sync the rest can be read, but may be gone after a loss of power. Partly written files are removed, as they would keep the disk full. A start on a full disk waits in the same way; a folder that can't be used still ends it. Ruled out: to keep the replica in memory and write again later. What it holds beyond the disk, votes above all, was never durable, and each step would have to know which.

--- a/controller/internal/consenter/consenter.go
+++ b/controller/internal/consenter/consenter.go
@@ -52,11 +52,15 @@
 	Sender Sender
 	// OnRoutingChange is called after the routing state has changed; it must not block.
 	OnRoutingChange func()
-	Logger          log.Logger
-	Fatal           chan<- error
+	// Opener opens the files in Folder to write. If it is nil, the operating system does.
+	Opener storer.Opener
+	Logger log.Logger
+	// Fatal receives the error after which the control goroutine has ended. A disk that takes no more bytes is none.
+	Fatal chan<- error
 
 	replica replicator.Replica
 	store   storer.Storer
+	refusal *refusal
 	state   keeper.Keeper
 	grants  granter.Granter
 	roster  roster
@@ -92,10 +96,26 @@
 // Name implements kernel.Service.
 func (c *Consenter) Name() string { return "consensus" }
 
-// Start recovers the state from disk and starts the control goroutine.
+// Start recovers the state from disk and starts the control goroutine. While the disk takes no bytes, the controller
+// starts without a part in the group.
 func (c *Consenter) Start(context.Context, kernel.Finder) error {
-	c.store.Folder = c.Folder
-	recovered, err := c.store.Open()
+	c.store = storer.Storer{Folder: c.Folder, Opener: c.Opener}
+	c.proposals = map[uint64]*proposal{}
+	now := time.Now()
+	if err := c.open(now, c.store.Open); err != nil && (!storer.Refused(err) || !c.suspend(now, err)) {
+		return err
+	}
+	c.events = make(chan event, queueLength)
+	c.done = make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	go c.run(ctx)
+	return nil
+}
+
+// open recovers the state that read finds on the disk.
+func (c *Consenter) open(now time.Time, read func() (*storer.Recovered, error)) error {
+	recovered, err := read()
 	if err != nil {
 		return err
 	}
@@ -105,17 +125,9 @@
 	if err := c.ensureIdentity(recovered); err != nil {
 		return err
 	}
-	c.recover(time.Now(), recovered)
-	if err := c.restore(recovered.Snapshot); err != nil {
-		return err
-	}
-	c.events = make(chan event, queueLength)
-	c.done = make(chan struct{})
-	c.proposals = map[uint64]*proposal{}
-	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
-	go c.run(ctx)
-	return nil
+	c.recover(now, recovered)
+	c.state, c.committed, c.revision, c.catalogueNumber = keeper.Keeper{}, 0, 0, 0
+	return c.restore(recovered.Snapshot)
 }
 
 // ensureIdentity gives an empty disk a new incarnation, so that it can never answer for a lost disk. It returns an
--- a/controller/internal/consenter/loop.go
+++ b/controller/internal/consenter/loop.go
@@ -26,7 +26,7 @@
 		case <-ticker.C:
 			c.replica.Tick(time.Now())
 		}
-		if err := c.processReady(); err != nil {
+		if err := c.process(time.Now()); err != nil {
 			_ = level.Error(c.Logger).Log("msg", "control goroutine failed", "err", err)
 			c.failProposals()
 			c.Fatal <- err
@@ -35,6 +35,20 @@
 	}
 }
 
+// process carries out the replica's work, or, while the disk takes no bytes, tries to take part in the group again.
+func (c *Consenter) process(now time.Time) error {
+	var err error
+	if c.refusal != nil {
+		err = c.resume(now)
+	} else {
+		err = c.processReady(now)
+	}
+	if err != nil && !c.suspend(now, err) {
+		return err
+	}
+	return nil
+}
+
 // drain handles the events that have queued up, so that one sync to disk serves many proposals.
 func (c *Consenter) drain() {
 	for range queueLength {
@@ -48,8 +62,7 @@
 }
 
 // processReady saves, sends and applies until the replica has no work left, and then updates what depends on its state.
-func (c *Consenter) processReady() error {
-	now := time.Now()
+func (c *Consenter) processReady(now time.Time) error {
 	c.replica.Flush(now)
 	for {
 		ready := c.replica.Ready()
--- a/controller/internal/consenter/routing.go
+++ b/controller/internal/consenter/routing.go
@@ -67,7 +67,8 @@
 	c.revision = c.committed
 }
 
-// publishRouting makes a changed routing state visible to other goroutines and calls OnRoutingChange.
+// publishRouting makes a changed routing state visible to other goroutines and calls OnRoutingChange. After a recovery in
+// this run, the plan that was visible before stays until the log has caught up with it.
 func (c *Consenter) publishRouting() {
 	next := &Routing{
 		Revision:  c.revision,
@@ -77,6 +78,9 @@
 		Leader:    c.replica.LeaderMember().GetName(),
 	}
 	old := c.routing.Load()
+	if old != nil && next.Revision < old.Revision {
+		next.Revision, next.Plan, next.Evacuated = old.Revision, old.Plan, old.Evacuated
+	}
 	if old != nil && old.Revision == next.Revision && old.Leader == next.Leader && slices.Equal(old.Members, next.Members) {
 		return
 	}
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -107,6 +107,8 @@
 	firstUnsaved    uint64
 	pendingSnapshot *wire.Snapshot
 	outbox          []*wire.Message
+	// suspended is set after Suspend.
+	suspended bool
 }
 
 // progress is what a leader records about another replica.
@@ -157,6 +159,16 @@
 	}
 }
 
+// Suspend ends the replica's part in the group for good, because its disk has refused what Ready returned last: it no
+// longer leads, votes, answers or sends. To take part again, start a new Replica from what the disk holds.
+func (r *Replica) Suspend() {
+	r.suspended = true
+	r.role, r.leader = Follower, nil
+	r.outbox, r.pendingSnapshot, r.voteUnsaved = nil, nil, false
+	r.firstUnsaved = r.log.last() + 1
+	r.commit = r.applied
+}
+
 // Role returns the replica's current role.
 func (r *Replica) Role() Role { return r.role }
 
@@ -234,6 +246,9 @@
 
 // Tick handles every deadline that has passed.
 func (r *Replica) Tick(now time.Time) {
+	if r.suspended {
+		return
+	}
 	if r.role == Leader {
 		r.tickLeader(now)
 		return
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -8,6 +8,9 @@
 
 // Step processes one message from another replica.
 func (r *Replica) Step(now time.Time, m *wire.Message) {
+	if r.suspended {
+		return
+	}
 	if !r.addressed(m) {
 		return
 	}
--- a/core/storer/errors.go
+++ b/core/storer/errors.go
@@ -1,6 +1,10 @@
 package storer
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
 
 // DamageError reports that records which were synced to disk can't be read or are missing. Offset is in bytes.
 type DamageError struct {
@@ -30,6 +34,16 @@
 // Unwrap returns the error of the operating system or of the protobuf codec.
 func (e *FileError) Unwrap() error { return e.Cause }
 
+// Refused reports whether an error comes from a disk that is full or faulty, as opposed to a folder that can't be used.
+func Refused(err error) bool {
+	for _, cause := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EROFS} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 type formatError struct {
 	reason string
 }
--- a/core/storer/recovery.go
+++ b/core/storer/recovery.go
@@ -19,6 +19,39 @@
 	Entries  []*wire.Entry
 }
 
+// probeSize is how many bytes a disk has to take before the folder is read again.
+const probeSize = 64 << 10
+
+// Reopen recovers after an error of Open, Save or SaveSnapshot, as Open does after a restart. It returns a FileError while
+// the disk takes no bytes. What a failed write has left is removed first: after a failed sync it can be read although it
+// is not durable, and an entry in it would be acknowledged.
+func (s *Storer) Reopen() (*Recovered, error) {
+	if err := s.replaceFile(probeFile, make([]byte, probeSize)); err != nil {
+		return nil, err
+	}
+	if err := os.Remove(filepath.Join(s.Folder, probeFile)); err != nil {
+		return nil, &FileError{Action: "remove", Path: probeFile, Cause: err}
+	}
+	if err := s.discardTail(); err != nil {
+		return nil, err
+	}
+	*s = Storer{Folder: s.Folder, Opener: s.Opener}
+	return s.Open()
+}
+
+// discardTail cuts the current segment to the bytes that are durable.
+func (s *Storer) discardTail() error {
+	if s.segment == nil {
+		return nil
+	}
+	_ = s.segment.Close() // it may be closed, and what was not synced is removed
+	err := s.truncateFile(s.segment.Name(), s.segmentSize)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil // rotate has removed it
+	}
+	return err
+}
+
 // readMessage reads a file that holds one record.
 func readMessage(path string, out proto.Message) error {
 	data, err := os.ReadFile(path)
@@ -121,13 +154,13 @@
 	if !newest || validRecordAfter(data[offset:]) {
 		return &DamageError{Path: path, Offset: int64(offset), Reason: cause.Error()}
 	}
-	return truncateFile(path, int64(offset))
+	return s.truncateFile(path, int64(offset))
 }
 
 // truncateFile truncates a file and syncs it. Without the sync, the removed tail could reappear after a power failure,
 // when newer segments follow, and look like damage to acknowledged records.
-func truncateFile(path string, size int64) error {
-	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+func (s *Storer) truncateFile(path string, size int64) error {
+	file, err := s.open(path, os.O_WRONLY)
 	if err != nil {
 		return &FileError{Action: "open", Path: path, Cause: err}
 	}
--- a/core/storer/storer.go
+++ b/core/storer/storer.go
@@ -3,6 +3,9 @@
 package storer
 
 import (
+	"errors"
+	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"sort"
@@ -15,6 +18,7 @@
 
 const (
 	identityFile   = "identity"
+	probeFile      = "probe"
 	segmentPrefix  = "log-"
 	snapshotPrefix = "snapshot-"
 	// segmentLimit is the size in bytes at which a new segment is started.
@@ -23,12 +27,27 @@
 	fileMode     = 0o640
 )
 
+// File is a file that is open for writing.
+type File interface {
+	io.WriteCloser
+	Name() string
+	Sync() error
+	Truncate(size int64) error
+}
+
+// Opener opens files for writing, with the arguments of os.OpenFile.
+type Opener interface {
+	OpenFile(path string, flag int, mode fs.FileMode) (File, error)
+}
+
 // Storer writes to one data folder. Set Folder, then call Open. It is not safe for concurrent use.
 type Storer struct {
 	Folder string
+	// Opener opens the files to write. If it is nil, the operating system does.
+	Opener Opener
 
-	// segment is the file being written, serial its number, and segmentSize its size in bytes.
-	segment     *os.File
+	// segment is the file being written, serial its number, and segmentSize the bytes of it that are durable.
+	segment     File
 	serial      uint64
 	segmentSize int64
 	vote        *wire.Vote
@@ -167,7 +186,8 @@
 	return nil
 }
 
-// rotate starts a new segment, which begins with the current vote so that older segments can be removed.
+// rotate starts a new segment, which begins with the current vote so that older segments can be removed. If it fails, no
+// new file is left.
 func (s *Storer) rotate() error {
 	if s.segment != nil {
 		if err := s.segment.Close(); err != nil {
@@ -176,16 +196,28 @@
 	}
 	s.serial++
 	path := filepath.Join(s.Folder, segmentPrefix+formatSerial(s.serial))
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, fileMode)
+	file, err := s.open(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND)
 	if err != nil {
 		return &FileError{Action: "create", Path: path, Cause: err}
 	}
 	s.segment = file
 	s.segmentSize = 0
-	if err := s.write(appendMessage(nil, recordVote, s.vote)); err != nil {
-		return err
+	err = s.write(appendMessage(nil, recordVote, s.vote))
+	if err == nil {
+		err = s.syncFolder()
 	}
-	return s.syncFolder()
+	if err != nil {
+		return errors.Join(err, os.Remove(path))
+	}
+	return nil
+}
+
+// open opens a file for writing.
+func (s *Storer) open(path string, flag int) (File, error) {
+	if s.Opener != nil {
+		return s.Opener.OpenFile(path, flag, fileMode)
+	}
+	return os.OpenFile(path, flag, fileMode)
 }
 
 // replaceFile replaces a file atomically and durably: after a crash, it has either its old or its new content, never a
@@ -193,7 +225,7 @@
 func (s *Storer) replaceFile(name string, data []byte) error {
 	path := filepath.Join(s.Folder, name)
 	temporary := path + ".new"
-	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	file, err := s.open(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return &FileError{Action: "create", Path: temporary, Cause: err}
 	}
@@ -205,7 +237,8 @@
 		err = closeErr
 	}
 	if err != nil {
-		return &FileError{Action: "write", Path: temporary, Cause: err}
+		// A part of the file would take up the space that is missing.
+		return errors.Join(&FileError{Action: "write", Path: temporary, Cause: err}, os.Remove(temporary))
 	}
 	if err := os.Rename(temporary, path); err != nil {
 		return &FileError{Action: "rename", Path: path, Cause: err}
@@ -241,10 +274,13 @@
 	return names, nil
 }
 
-// Close closes the current segment.
+// Close closes the current segment, unless it is closed because a new one could not be started.
 func (s *Storer) Close() error {
 	if s.segment == nil {
 		return nil
 	}
-	return s.segment.Close()
+	if err := s.segment.Close(); !errors.Is(err, fs.ErrClosed) {
+		return err
+	}
+	return nil
 }
