Bodies of requests are bounded together

What was seen: uploads that are allowed each took any amount of memory together: 60 of 12 MiB to one instance, held open but for the last byte, 1,217 MiB of 284 (real process; on the users' platform it is killed, with all its requests).

Cause: a body was limited to 16 MiB, all together were not, and nothing ended the reading of a body before its caller did.

Now what is held beyond 16 KiB a body shares a quarter of the memory; one that finds no room is refused at once with 503 and a time to come back, and a body is read until the request's deadline at most (408). Ruled out: to reserve the stated length at the start (it is only a claim), to make bodies wait for room (those that hold parts would wait for each other), and to give up the largest (a sound one; callers' bodies have no origin to blame as answers have).

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -25,6 +25,7 @@
 	"chervilrail.example/controller/internal/exchanger"
 	"chervilrail.example/controller/internal/selector"
 	"chervilrail.example/controller/internal/server"
+	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/listener"
@@ -46,6 +47,9 @@
 	// callerPercent is the percentage of the descriptors that connections of targets and clients may use. A full table of
 	// descriptors would keep out the calls of other controllers.
 	callerPercent = 70
+	// bodyMemoryPart is the part of the memory, one in so many bytes, that the bodies of operators' and targets' calls may
+	// take. Decoded, a body takes several times as much.
+	bodyMemoryPart = 8
 )
 
 // Run runs the program with its arguments, the first of which is the program's name, and returns the exit code.
@@ -193,7 +197,7 @@
 	k.Services = append(k.Services, work)
 	k.Services = append(k.Services, platformListeners(settings, work, &translator.PlatformHandler{
 		Changer: change, TargetRegistry: exchange, Selector: &selector.Selector{InstanceLister: exchange},
-		Regions: settings.Regions, Logger: logs,
+		Regions: settings.Regions, Logger: logs, Bodies: &bounder.Bounder{Limit: settings.MemoryLimit / bodyMemoryPart},
 	})...)
 	return k, closeLog
 }
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -222,7 +222,7 @@
 		Path:     j.path(),
 		Host:     j.request.Host,
 		Header:   header,
-		Body:     j.body,
+		Body:     j.payload(),
 		Withhold: func() string { return svc.withhold(decision.Target) },
 		Matches:  func(h http.Header) bool { return c.Codec.Reply(http.StatusOK, h, now).ID == j.call.ID },
 	}
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/messenger"
@@ -75,14 +76,16 @@
 // Carrier is the service that forwards callers' requests to targets. Set the exported fields before Start.
 type Carrier struct {
 	// Self is this instance's name.
-	Self       string
-	Region     string
-	Zone       string
-	Codec      messenger.Codec
-	Views      Views
-	Sender     Sender
-	Locator    Locator
-	Quotas     Quotas
+	Self    string
+	Region  string
+	Zone    string
+	Codec   messenger.Codec
+	Views   Views
+	Sender  Sender
+	Locator Locator
+	Quotas  Quotas
+	// Bodies bounds the bodies of all requests in progress together.
+	Bodies     bounder.Bounder
 	Quarantine *quarantiner.Quarantiner
 	Logger     log.Logger
 	Metrics    *Metrics
@@ -275,7 +278,10 @@
 	c.running.Add(1)
 	defer c.running.Add(-1)
 	j := &job{started: time.Now(), request: r}
-	out := c.handle(j)
+	out := c.handle(w, j)
+	if j.body != nil {
+		defer j.body.Release()
+	}
 	if c.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -306,12 +312,12 @@
 }
 
 // handle runs all steps of a request and returns its result: routing, quarantine, quota and the attempts.
-func (c *Carrier) handle(j *job) result {
+func (c *Carrier) handle(w http.ResponseWriter, j *job) result {
 	j.view = c.awaitView(j)
 	if j.view == nil {
 		return refuse(http.StatusServiceUnavailable, "blind", time.Now().Add(noPlanRetryDelay))
 	}
-	if out := c.prepare(j); out != nil {
+	if out := c.prepare(w, j); out != nil {
 		return *out
 	}
 	if until := c.Quarantine.RefusedUntil(j.started, j.fingerprint); !until.IsZero() {
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -1,13 +1,16 @@
 package carrier
 
 import (
-	"io"
+	"errors"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
@@ -24,6 +27,8 @@
 	// answerMargin is how long an answer is awaited past the request's deadline: targets give up at the deadline
 	// themselves, and their own answers are more informative than a time-out here.
 	answerMargin = 100 * time.Millisecond
+	// bodyRetryDelay is the time after which there may be room for a body again: half of what a large one takes.
+	bodyRetryDelay = 500 * time.Millisecond
 )
 
 // job is the state of one caller's request.
@@ -41,7 +46,7 @@
 	// quota is the verdict of the organisation's quota.
 	quota       quoter.Verdict
 	deadline    time.Time
-	body        []byte
+	body        *bounder.Body
 	fingerprint quarantiner.Fingerprint
 	// target and region are those of the last attempt; sends counts the attempts that may have reached a target.
 	target    string
@@ -58,7 +63,7 @@
 }
 
 // prepare matches and reads a request; a non-nil result is final.
-func (c *Carrier) prepare(j *job) *result {
+func (c *Carrier) prepare(w http.ResponseWriter, j *job) *result {
 	route, ok := j.view.Table.Match(j.request.Host, j.request.URL.EscapedPath())
 	if !ok {
 		out := refuse(http.StatusNotFound, "route", time.Time{})
@@ -82,7 +87,7 @@
 	if !call.Deadline.IsZero() && call.Deadline.Before(j.deadline) {
 		j.deadline = call.Deadline
 	}
-	if out := j.readBody(); out != nil {
+	if out := c.readBody(w, j); out != nil {
 		return out
 	}
 	j.service = c.routes.nextService(route)
@@ -90,22 +95,48 @@
 	return nil
 }
 
-func (j *job) readBody() *result {
+// readBody reads the request's body whole, until the request's deadline at the latest.
+func (c *Carrier) readBody(w http.ResponseWriter, j *job) *result {
+	if j.request.ContentLength == 0 {
+		return nil
+	}
 	limit := int64(maxBody)
 	if planLimit := j.view.Table.Plan.GetLimits().GetBody(); planLimit > 0 {
 		limit = min(limit, planLimit)
 	}
-	body, err := io.ReadAll(io.LimitReader(j.request.Body, limit+1))
-	if err != nil {
-		out := callerDisconnected()
-		return &out
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(j.deadline) // without one, the caller's own deadline ends the transfer
+	body, err := c.Bodies.Read(j.request.Body, j.request.ContentLength, limit)
+	_ = connection.SetReadDeadline(time.Time{})
+	j.body = body
+	if err == nil {
+		return nil
 	}
-	if int64(len(body)) > limit {
-		out := refuse(http.StatusRequestEntityTooLarge, "size", time.Time{})
-		return &out
+	out := refuseBody(err)
+	return &out
+}
+
+// refuseBody returns the result for a request whose body could not be read.
+func refuseBody(err error) result {
+	var tooLarge *bounder.TooLargeError
+	var full *bounder.FullError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, "size", time.Time{})
+	case errors.As(err, &full):
+		return refuse(http.StatusServiceUnavailable, "memory", time.Now().Add(bodyRetryDelay+rand.N(bodyRetryDelay)))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, "upload", time.Now().Add(rand.N(bodyRetryDelay)))
 	}
-	j.body = body
-	return nil
+	return callerDisconnected()
+}
+
+// payload returns the bytes of the body.
+func (j *job) payload() []byte {
+	if j.body == nil {
+		return nil
+	}
+	return j.body.Bytes
 }
 
 // path returns the path and query exactly as the caller sent them.
@@ -127,7 +158,7 @@
 			_, _ = d.WriteString(part)
 			_, _ = d.Write([]byte{0})
 		}
-		_, _ = d.Write(j.body)
+		_, _ = d.Write(j.payload())
 		copy(out[8*half:], d.Sum(nil))
 	}
 	return out
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -145,6 +145,7 @@
 		Metrics:         forwarder.NewMetrics(p.registry),
 		Sample:          settings.Sample,
 	}
+	p.forwarder.Bodies.Limit = settings.MemoryLimit / bodyMemoryPart
 	p.registry.MustRegister(&collector{directory: p.directory})
 	return p
 }
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -36,6 +36,10 @@
 // buffers are copied as they grow, and the old ones wait for the collector.
 const answerMemoryPart = 8
 
+// bodyMemoryPart is the part of the memory, one in so many bytes, that the bodies of callers' requests may take. Together
+// with that of answers, and with what is freed late, it stays below the memory at which the garbage collector works harder.
+const bodyMemoryPart = 4
+
 // planProgram holds the services of an entry instance that routes by a plan.
 type planProgram struct {
 	settings *config.Config
@@ -70,6 +74,7 @@
 		Self: settings.Name, Region: settings.Region, Zone: settings.Zone, Codec: translator.Codec{}, Views: p.watcher,
 		Sender: &pooler.Pooler{AnswerMemory: settings.MemoryLimit / answerMemoryPart}, Quarantine: quarantine, Logger: p.logger, Metrics: carrier.NewMetrics(p.registry),
 	}
+	p.carrier.Bodies.Limit = settings.MemoryLimit / bodyMemoryPart
 	p.locator = &locator.Locator{
 		Self: settings.Name, Dialer: &dialer.Dialer{HTTP1Only: true}, Assigner: p.carrier, Logger: p.logger,
 	}
--- a/entry/internal/forwarder/body.go
+++ b/entry/internal/forwarder/body.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"chervilrail.example/core/bounder"
 )
 
 const (
@@ -29,9 +31,12 @@
 	size int64
 	// started is set once the rest has been read from; the body can't be sent again then.
 	started atomic.Bool
+	// held is the memory of a body that is buffered completely, whatever its size.
+	held *bounder.Body
 }
 
-func readAhead(w http.ResponseWriter, r *http.Request, limit int64, whole bool) (*body, error) {
+// readAhead reads the first part of a body, or all of it if whole is set. Release the body with close in any case.
+func (f *Forwarder) readAhead(w http.ResponseWriter, r *http.Request, limit int64, whole bool) (*body, error) {
 	b := &body{size: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody {
 		b.size = 0
@@ -41,8 +46,13 @@
 		limit = min(limit, maxOnceBody)
 	}
 	source := &stallReader{http.MaxBytesReader(w, r.Body, limit), http.NewResponseController(w)}
+	if whole {
+		held, err := f.Bodies.Read(source, r.ContentLength, limit)
+		b.held, b.ahead, b.size = held, held.Bytes, int64(len(held.Bytes))
+		return b, err
+	}
 	first := int64(readAheadSize)
-	if whole || r.ContentLength >= 0 && r.ContentLength <= maxBufferedBody {
+	if r.ContentLength >= 0 && r.ContentLength <= maxBufferedBody {
 		first = max(limit, maxBufferedBody) + 1
 	}
 	var buffer bytes.Buffer
@@ -53,7 +63,7 @@
 		return b, nil
 	}
 	if err != nil {
-		return nil, err
+		return b, err
 	}
 	b.rest = source
 	return b, nil
@@ -73,9 +83,15 @@
 }
 
 func (b *body) close() {
-	if b != nil && b.rest != nil {
+	if b == nil {
+		return
+	}
+	if b.rest != nil {
 		_ = b.rest.Close()
 	}
+	if b.held != nil {
+		b.held.Release()
+	}
 }
 
 type markReader struct{ b *body }
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"chervilrail.example/core/balancer"
+	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/granter"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/quarantiner"
@@ -59,8 +60,10 @@
 	Ledger          Ledger
 	LossBroadcaster LossBroadcaster
 	Quarantine      *quarantiner.Quarantiner
-	Logger          log.Logger
-	Metrics         *Metrics
+	// Bodies bounds the bodies that are buffered completely, all together.
+	Bodies  bounder.Bounder
+	Logger  log.Logger
+	Metrics *Metrics
 	// Sample is the sampling rate of the log: one in this many routing decisions is logged.
 	Sample int64
 
--- a/entry/internal/forwarder/job.go
+++ b/entry/internal/forwarder/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/cataloguer"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/entry/internal/directory"
@@ -21,6 +23,8 @@
 	headerKey    = "Idempotency-Key"
 	keyVersion   = 7
 	maxKeyLength = 64
+	// bodyRetryDelay is the time after which there may be room for a body again.
+	bodyRetryDelay = time.Second
 )
 
 // job is one caller's request in progress.
@@ -72,7 +76,7 @@
 	if refusal := j.readKey(); refusal != nil {
 		return j, refusal
 	}
-	if refusal := j.readBody(w); refusal != nil {
+	if refusal := f.readBody(w, j); refusal != nil {
 		return j, refusal
 	}
 	if refusal := f.checkLimits(now, j); refusal != nil {
@@ -155,13 +159,20 @@
 	return nil
 }
 
-func (j *job) readBody(w http.ResponseWriter) *refuser.Refusal {
+func (f *Forwarder) readBody(w http.ResponseWriter, j *job) *refuser.Refusal {
 	r := j.request
 	if r.ContentLength > j.entry.Body {
 		return refuse(http.StatusRequestEntityTooLarge, "size",
 			"at most "+strconv.FormatInt(j.entry.Body, 10)+" bytes", time.Time{})
 	}
-	b, err := readAhead(w, r, j.entry.Body, j.once())
+	b, err := f.readAhead(w, r, j.entry.Body, j.once())
+	if err != nil {
+		b.close()
+	}
+	var full *bounder.FullError
+	if errors.As(err, &full) {
+		return refuse(http.StatusServiceUnavailable, "memory", err.Error(), time.Now().Add(bodyRetryDelay))
+	}
 	if err != nil {
 		return refuse(http.StatusBadRequest, "body", "read body: "+err.Error(), time.Time{})
 	}
--- a/standin/internal/starter/routed.go
+++ b/standin/internal/starter/routed.go
@@ -93,6 +93,9 @@
 	return out
 }
 
+// EntryMemory is the memory limit in the settings of entry instances, in MB.
+const EntryMemory = 284
+
 // StartPlatformEntry starts or restarts entry instance i.
 func (s *PlatformSystem) StartPlatformEntry(i int) error {
 	name := fmt.Sprintf("e%d", i+1)
@@ -113,12 +116,15 @@
 addresses = %s
 port = %d
 
+[memory]
+limit = %d
+
 [timing]
 answer = 2500ms
 patience = 6s
 `, name, place.Region, place.Zone, address, CallerPort, address, readyPort, address, PeerPort, address,
 		MetricsPort,
-		strings.Join(s.Seeds, ", "), ControlPort))
+		strings.Join(s.Seeds, ", "), ControlPort, EntryMemory))
 	if err != nil {
 		return err
 	}
