A forwarded order is sent again when the leader does not answer

Cause: a forwarded command had one connection and the whole time of the order. A connection that received something in the last 1.2 s is trusted, and nothing but the missing answer shows that it is silent.

Now a second copy goes out over another connection after 1.2 s, beside the first; the first result decides, and an error of one copy does not, as the other may still take effect. Ruled out: to cancel the first copy (a leader whose disk is slow would have to begin anew).

TestSilentConnectionToTheLeaderDelaysNoOrder failed before (3.0 s, no answer); TestRefusedSecondCopyOfAnOrderDoesNotDecide is new.

--- a/controller/internal/changer/changer.go
+++ b/controller/internal/changer/changer.go
@@ -21,6 +21,10 @@
 // sent meanwhile are answered without a retry by the caller.
 const commandTimeout = 3 * time.Second
 
+// forwardPatience is how long a forwarded command goes without an answer before a second copy is sent over another
+// connection: longer than a leader takes whose own calls are answered.
+const forwardPatience = 1200 * time.Millisecond
+
 // Consensus proposes commands if this controller is the leader, and returns a consenter.NotLeaderError otherwise.
 type Consensus interface {
 	Propose(ctx context.Context, command *wire.Command) (*wire.Result, error)
@@ -85,7 +89,7 @@
 	result, err := c.Consensus.Propose(ctx, command)
 	var notLeader *consenter.NotLeaderError
 	if errors.As(err, &notLeader) {
-		result, err = c.Forwarder.Forward(ctx, command)
+		result, err = c.forward(ctx, command)
 	}
 	if err != nil {
 		_ = level.Warn(c.Logger).Log("msg", "command not answered", "command", name, "err", err)
@@ -94,6 +98,44 @@
 	return result, nil
 }
 
+// forward sends a command to the leader, and a second copy if there is no answer for a while: the connection may have gone
+// silent, and the caller would wait for nothing. Commands have the same effect twice as once while their caller waits. The
+// first result decides; an error of one copy does not, as the other may still take effect.
+func (c *Changer) forward(ctx context.Context, command *wire.Command) (*wire.Result, error) {
+	results, pending := make(chan forwarded, maxCopies), 0
+	send := func() {
+		pending++
+		go func() {
+			result, err := c.Forwarder.Forward(ctx, command)
+			results <- forwarded{result, err}
+		}()
+	}
+	send()
+	again := time.NewTimer(forwardPatience)
+	defer again.Stop()
+	for {
+		select {
+		case f := <-results:
+			pending--
+			if f.err == nil || pending == 0 {
+				return f.result, f.err
+			}
+		case <-again.C:
+			_ = level.Warn(c.Logger).Log("msg", "leader does not answer, command sent again", "after", forwardPatience)
+			send()
+		}
+	}
+}
+
+// maxCopies is how many copies of a command are forwarded at most.
+const maxCopies = 2
+
+// forwarded is the outcome of one copy of a forwarded command.
+type forwarded struct {
+	result *wire.Result
+	err    error
+}
+
 // refuseDisconnected refuses a command whose caller has disconnected. The caller retries the command elsewhere and may
 // have sent later ones since; executed now, the old command could undo a later one that was acknowledged.
 func (c *Changer) refuseDisconnected(name string) error {
--- a/controller/internal/changer/changer_test.go
+++ b/controller/internal/changer/changer_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"chervilrail.example/controller/internal/consenter"
 	"chervilrail.example/core/listener"
 	"chervilrail.example/core/wire"
 )
@@ -62,3 +63,50 @@
 		})
 	}
 }
+
+// otherLeads is a group in which another controller leads.
+type otherLeads struct{}
+
+func (otherLeads) Propose(context.Context, *wire.Command) (*wire.Result, error) {
+	return nil, &consenter.NotLeaderError{Leader: "c2"}
+}
+
+// forwarder answers commands but for the first, whose connection has gone silent. If refuse is set, it refuses the others.
+type forwarder struct {
+	calls  atomic.Int32
+	refuse error
+}
+
+func (f *forwarder) Forward(ctx context.Context, _ *wire.Command) (*wire.Result, error) {
+	if f.calls.Add(1) == 1 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &wire.Result{}, f.refuse
+}
+
+// orderBound is the time within which an order is answered although a connection has gone silent: less than any
+// deployment gives an acknowledgement, with room for a change of leader.
+const orderBound = 2 * time.Second
+
+// Guards against orders that wait for seconds and are answered 503, because they were forwarded to the leader over a
+// connection that has just gone silent.
+func TestSilentConnectionToTheLeaderDelaysNoOrder(t *testing.T) {
+	is := is.New(t)
+	f := &forwarder{}
+	c := &Changer{Consensus: otherLeads{}, Forwarder: f, Logger: log.NewNopLogger()}
+	began := time.Now()
+	is.NoErr(c.Evacuate(t.Context(), "z", true))
+	is.True(time.Since(began) < orderBound)
+	is.Equal(f.calls.Load(), int32(2))
+}
+
+// Guards against an order that is refused while its first copy may still take effect.
+func TestRefusedSecondCopyOfAnOrderDoesNotDecide(t *testing.T) {
+	is := is.New(t)
+	f := &forwarder{refuse: &consenter.NotLeaderError{}}
+	c := &Changer{Consensus: otherLeads{}, Forwarder: f, Logger: log.NewNopLogger()}
+	began := time.Now()
+	is.True(c.Evacuate(t.Context(), "z", true) != nil)
+	is.True(time.Since(began) > commandTimeout-time.Second) // it has waited for the first copy
+}
