A controller that is dead without a sign delays no fail-over

Cause: each call without an answer took the same 1.5 s, which covers the second for which a controller holds a call without changes.

Now a call that follows one without an answer says so and is answered at once, and is given 0.3 s before the next controller is called; it goes on beside that, as before. Further calls get 1.5 s again: where the link of the instance is full, all answers are late, and more calls would fill it. Ruled out: to call two controllers at once after each failure (after a restart of all, every instance fails).

--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -72,8 +72,8 @@
 }
 
 // buildResponse builds the response for the current state, and reports whether to send it at once: there are changes
-// that the instance has not seen, it waits for a confirmation of its first plan, or it has to turn to another
-// controller.
+// that the instance has not seen, it waits for a confirmation of its first plan or, as others failed, for any answer,
+// or it has to turn to another controller.
 func (x *Exchanger) buildResponse(now time.Time, r *wire.WatchRequest) (*wire.WatchResponse, bool) {
 	confirmed := x.Consensus.Confirmed()
 	routing := x.Consensus.Routing()
@@ -113,7 +113,7 @@
 			x.addPlan(out, routing.PlanWithoutKeys, r.GetUnpacks())
 		}
 	}
-	fresh := routing.Revision > r.GetRevision() || !set.changes.Empty() || len(out.Hosts) > 0 ||
+	fresh := r.GetFailing() || routing.Revision > r.GetRevision() || !set.changes.Empty() || len(out.Hosts) > 0 ||
 		r.GetNode().GetStarting() && isCurrent(now, confirmed)
 	return out, fresh || !linked && r.GetRun() == x.gossip.Run
 }
--- a/entry/internal/watcher/calls.go
+++ b/entry/internal/watcher/calls.go
@@ -18,6 +18,9 @@
 	// callTimeout is how long a call keeps this instance from calling another controller. It covers the second for which a
 	// controller holds a call without changes, and a round trip with one lost packet.
 	callTimeout = 1500 * time.Millisecond
+	// secondTimeout is the same for the call that follows one without an answer. Controllers answer it at once, and the
+	// next one may have ended without a sign.
+	secondTimeout = 300 * time.Millisecond
 	// maxLate is how many calls go on after that. Where the link of this instance is full, all answers come late: given
 	// up, none would ever arrive.
 	maxLate = 2
@@ -65,11 +68,20 @@
 	return c
 }
 
-// await returns the outcome of a call, or the answer to an earlier one that comes first. A call without an answer within
-// callTimeout becomes a late one, and its outcome here is a NoAnswerError.
+// patience returns how long the next outcome is awaited. Beyond the second call it is as long as for the first: where the
+// link of this instance is full, more calls would fill it further.
+func (w *Watcher) patience() time.Duration {
+	if len(w.state.late) == 1 {
+		return secondTimeout
+	}
+	return callTimeout
+}
+
+// await returns the outcome of a call, or the answer to an earlier one that comes first. A call without an answer in time
+// becomes a late one, and its outcome here is a NoAnswerError.
 func (w *Watcher) await(current *call) outcome {
 	s := &w.state
-	timer := time.NewTimer(time.Until(current.sent.Add(callTimeout)))
+	timer := time.NewTimer(time.Until(current.sent.Add(w.patience())))
 	defer timer.Stop()
 	for {
 		select {
@@ -103,10 +115,10 @@
 	w.switchTo([]netip.AddrPort{answered.controller})
 }
 
-// NoAnswerError reports that a controller has not answered a call within callTimeout.
+// NoAnswerError reports that a controller has not answered a call in time.
 type NoAnswerError struct{ Controller netip.AddrPort }
 
 // Error implements error.
 func (e *NoAnswerError) Error() string {
-	return e.Controller.String() + " has not answered within " + callTimeout.String()
+	return e.Controller.String() + " has not answered in time"
 }
--- a/entry/internal/watcher/silent_test.go
+++ b/entry/internal/watcher/silent_test.go
@@ -124,3 +124,43 @@
 	t.Logf("in force after %v", time.Since(changed))
 	is.True(time.Since(changed) < failOverBound)
 }
+
+// doubleFailOverBound is the time within which most deployments have to have an accepted change in force.
+const doubleFailOverBound = 2500 * time.Millisecond
+
+// startDeadController returns the address of a controller that has ended without a sign: connections to it open, and
+// nothing ever answers.
+func startDeadController(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return netip.MustParseAddrPort(socket.Addr().String())
+}
+
+// Guards against a plan that reaches an instance seconds late: the connection it waits on goes silent, and the next
+// controller that it calls, the only other one of its region, has ended without a sign.
+func TestDeadControllerDelaysNoFailOver(t *testing.T) {
+	is := is.New(t)
+	first, third := &controller{}, &controller{}
+	l, firstAddress := startSilentController(t, first)
+	_, thirdAddress := startSilentController(t, third)
+	dead := startDeadController(t)
+	for _, c := range []*controller{first, third} {
+		a := answer(5, 3, true)
+		a.Near = []string{firstAddress.String(), dead.String()}
+		a.Controllers = append([]string{thirdAddress.String()}, a.Near...)
+		c.setAnswer(a)
+	}
+	w := startWatcher(t, firstAddress)
+	waitFor(t, func() bool { return version(w) == 3 })
+	is.True(l.silence() > 0)
+	is.NoErr(l.Close())
+	third.setAnswer(answer(6, 4, true))
+	changed := time.Now()
+	for version(w) != 4 && time.Since(changed) < 3*doubleFailOverBound {
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("in force after %v", time.Since(changed))
+	is.True(time.Since(changed) < doubleFailOverBound)
+}
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -267,6 +267,7 @@
 		// Without an established plan this instance would refuse the callers that look-ups send here.
 		Node: w.describe(!s.established), Run: s.run, Counter: s.counter, Revision: s.revision, First: !s.polled,
 		Hosted: s.hosted, Loaded: s.loaded, Loads: w.takeReadings(), Unpacks: true, Observed: s.observed,
+		Failing: s.failing,
 	}
 	if s.plan != nil {
 		out.Version = s.plan.Plan.GetVersion()
