Tests: unfinished bodies, which the former test of answers without end did not see

With the accounting of all bodies together taken out (scratch copy), TestEndlessBodiesDoNotTakeTheMemory still passed: each body ends at its own limit before the memory is measured.

--- a/entry/internal/pooler/endless_test.go
+++ b/entry/internal/pooler/endless_test.go
@@ -113,3 +113,30 @@
 		})
 	}
 }
+
+// Guards against the same by large bodies whose ends never come: each is allowed, and is held until its deadline.
+func TestUnfinishedBodiesDoNotTakeTheMemory(t *testing.T) {
+	const memory, sent = 8 << 20, 4 << 20
+	is := is.New(t)
+	faulty := startTarget(t, func(c net.Conn, _ int) {
+		write(c, "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 8000000\r\n\r\n")
+		write(c, strings.Repeat("x", sent))
+		<-t.Context().Done()
+	})
+	p := &Pooler{AnswerMemory: memory}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	for range 40 {
+		group.Go(func() { _, _, _ = sendOnceConnected(ctx, p, faulty) })
+	}
+	time.Sleep(2 * time.Second)
+	runtime.GC()
+	var used runtime.MemStats
+	runtime.ReadMemStats(&used)
+	t.Logf("%d MiB", used.HeapAlloc>>20)
+	is.True(used.HeapAlloc < 4*memory)
+	cancel()
+	group.Wait()
+	is.Equal(p.buffers.total, int64(0))
+}
