A leave that would have no effect is not acknowledged; the soak sends heartbeats of other writers

A target's leave was acknowledged and ignored while its name was in use by an announcement with a higher incarnation. For a late leave of an ended incarnation that is right; with another writer's number far ahead, the target would go on getting requests after its acknowledgement. Now the controller answers 503 (SupersededError), and the target, which repeats its leave, has it recorded once it has shown that it alone announces itself. TestLeaveWithoutEffectIsNotAcknowledged failed before. TestLateLeaveOfEarlierIncarnationIsIgnored asked for an answer without an error; it now asks for that error, and for the same state: nobody waits for a late leave's answer.

The soak sends heartbeats for services that no plan names, and at the end each target that announces itself has to get a request.

--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -19,7 +19,7 @@
 // it and were then disconnected, requests would still be sent to a target that was assured it receives none.
 //
 // It returns an error of registrar.CheckFormat for a malformed record, a NotJoinedError before this controller has
-// joined the group, and a NoQuorumError or a NotSavedError if a leaving target is not acknowledged in time.
+// joined the group, and a NoQuorumError, a NotSavedError or a SupersededError if a leaving target is not acknowledged.
 func (x *Exchanger) Announce(ctx context.Context, r *wire.Record) error {
 	if err := registrar.CheckFormat(r); err != nil {
 		return err
@@ -39,6 +39,7 @@
 // a majority of the voters.
 func (x *Exchanger) accept(ctx context.Context, r *wire.Record) error {
 	var position uint64
+	var superseded error
 	x.update(func(now time.Time) {
 		old, known := x.gossip.Target(r.GetName())
 		moved := known && !x.gossip.Announces(r.GetName())
@@ -50,10 +51,14 @@
 			old.GetOverrides() != merged.GetOverrides() {
 			x.logAnnouncement(merged)
 		}
+		superseded = checkSuperseded(merged, r)
 	})
 	if r.GetState() == wire.TargetState_TARGET_READY {
 		return nil
 	}
+	if superseded != nil {
+		return superseded
+	}
 	if err := x.saveLeaves(ctx, []*wire.Record{r}); err != nil {
 		return err
 	}
@@ -84,7 +89,7 @@
 // Leave records that a target has left. An incarnation of zero stands for the one known here. If the target is unknown
 // and names no incarnation, Leave returns an UnknownTargetError, and the target tries another controller: without an
 // incarnation, the record could not override delayed announcements of the target. A leave of an incarnation older than
-// the known one is ignored. As in Announce, a NoQuorumError means that the record was not acknowledged in time, and an
+// the one in use is ignored, with a SupersededError. As in Announce, a NoQuorumError means that the record was not acknowledged in time, and an
 // error of registrar that the name or the incarnation is malformed.
 func (x *Exchanger) Leave(ctx context.Context, name string, incarnation uint64) error {
 	if err := cmp.Or(registrar.CheckName(name), registrar.CheckIncarnation(incarnation)); err != nil {
@@ -96,18 +101,28 @@
 	if !known && incarnation == 0 {
 		return &UnknownTargetError{Target: name}
 	}
-	if known && incarnation != 0 && incarnation < record.GetIncarnation() {
-		return nil
-	}
 	departed := &wire.Record{Name: name}
 	if known {
 		departed = proto.CloneOf(record)
 	}
+	if known && incarnation != 0 && incarnation < record.GetIncarnation() {
+		departed.Incarnation = incarnation
+		return checkSuperseded(record, departed)
+	}
 	departed.State = wire.TargetState_TARGET_GONE
 	departed.Incarnation = max(departed.GetIncarnation(), incarnation)
 	return x.accept(ctx, departed)
 }
 
+// checkSuperseded returns a SupersededError if a target is in use by a record of another incarnation than that of its
+// announcement, so that a leave would be acknowledged and have no effect.
+func checkSuperseded(merged, r *wire.Record) error {
+	if merged.GetState() != wire.TargetState_TARGET_READY || merged.GetIncarnation() <= r.GetIncarnation() {
+		return nil
+	}
+	return &SupersededError{Target: r.GetName(), Incarnation: r.GetIncarnation(), Known: merged.GetIncarnation()}
+}
+
 // awaitQuorum waits until a majority of the voters have acknowledged everything up to a position, a counter of the
 // gossip state.
 func (x *Exchanger) awaitQuorum(ctx context.Context, target string, position uint64) error {
--- a/controller/internal/exchanger/errors.go
+++ b/controller/internal/exchanger/errors.go
@@ -1,6 +1,9 @@
 package exchanger
 
-import "strconv"
+import (
+	"fmt"
+	"strconv"
+)
 
 // NoQuorumError reports that this controller can't reach a majority of the voters.
 type NoQuorumError struct{}
@@ -35,3 +38,17 @@
 func (e *NotSavedError) Error() string {
 	return strconv.Itoa(e.Leaves) + " leaves of targets not saved"
 }
+
+// SupersededError reports that a leave of a target was not recorded, because its name or address is in use by an
+// announcement with a higher number. The target repeats its leave until it has shown that it alone announces itself.
+type SupersededError struct {
+	Target      string
+	Incarnation uint64
+	// Known is the incarnation that is in use.
+	Known uint64
+}
+
+// Error implements error.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("%s: incarnation %d is in use, not %d", e.Target, e.Known, e.Incarnation)
+}
--- a/controller/internal/exchanger/exchanger_test.go
+++ b/controller/internal/exchanger/exchanger_test.go
@@ -138,7 +138,8 @@
 	is := is.New(t)
 	x := startExchanger(t, "c1")
 	is.NoErr(x.Announce(context.Background(), announcement(1, wire.TargetState_TARGET_READY)))
-	is.NoErr(x.Leave(context.Background(), "t1", 4))
+	var superseded *SupersededError
+	is.True(errors.As(x.Leave(context.Background(), "t1", 4), &superseded))
 	record, _ := x.gossip.Target("t1")
 	is.Equal(record.GetState(), wire.TargetState_TARGET_READY)
 }
--- a/controller/internal/exchanger/foreign_test.go
+++ b/controller/internal/exchanger/foreign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 
@@ -109,3 +110,17 @@
 	record, _ := x.gossip.Target("t1")
 	is.Equal(record.GetState(), wire.TargetState_TARGET_LEAVING)
 }
+
+// Guards against a leave that is acknowledged and has no effect, because another writer has announced the target with a
+// number far ahead.
+func TestLeaveWithoutEffectIsNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	x := startExchanger(t, "c1")
+	is.NoErr(x.Announce(context.Background(), announcement(1, wire.TargetState_TARGET_READY)))
+	r := foreign()
+	r.Service = "listings"
+	is.NoErr(x.Announce(context.Background(), r))
+	var superseded *SupersededError
+	is.True(errors.As(x.Announce(context.Background(), announcement(2, wire.TargetState_TARGET_LEAVING)), &superseded))
+	is.True(errors.As(x.Leave(context.Background(), "t1", 5), &superseded))
+}
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -94,9 +94,10 @@
 // runSchedule starts the faults at their scheduled times and waits until all of them have ended.
 func (s *Soak) runSchedule(ctx context.Context) {
 	start := time.Now()
-	finished := make(chan struct{}, (2*len(kinds)+1)*int(s.Length/minGap))
+	faults := schedule(s.Seed, s.Length)
+	finished := make(chan struct{}, len(faults))
 	running := 0
-	for _, f := range schedule(s.Seed, s.Length) {
+	for _, f := range faults {
 		time.Sleep(time.Until(start.Add(f.at)))
 		if ctx.Err() != nil {
 			break
@@ -131,6 +132,8 @@
 		s.evacuate(ctx, f)
 	case controlSilence:
 		s.silenceControl(f)
+	case foreignHeartbeat:
+		s.impersonate(ctx, f)
 	case targetReject, targetsRejectAll, targetLimit, targetSaysLeave:
 		s.injectStatement(ctx, f)
 	}
@@ -196,6 +199,26 @@
 	}
 }
 
+// impersonate sends a heartbeat of another writer for a service that no plan names to a controller, or to all: under the
+// name of a target or another one, with its address, ready or leaving. It must have no effect.
+func (s *Soak) impersonate(ctx context.Context, f fault) {
+	t := s.pickTarget(f.index/8, false)
+	h := speaker.Heartbeat{ID: t.ID, Service: "elsewhere", Born: time.Now().Add(time.Hour)}
+	if f.index%2 == 0 {
+		h.ID = "foreign-" + t.ID
+	}
+	if f.index/2%2 == 0 {
+		h.State = "draining"
+	}
+	urls := s.system.PlatformURLs()
+	if f.index/4%2 == 0 {
+		urls = urls[:1]
+	}
+	for _, h.Controller = range urls {
+		t.Impersonate(ctx, h)
+	}
+}
+
 // isControl reports whether a connection belongs to the controllers' port for internal calls.
 func isControl(local, remote netip.AddrPort) bool {
 	return local.Port() == starter.ControlPort || remote.Port() == starter.ControlPort
--- a/standin/internal/soaker/schedule.go
+++ b/standin/internal/soaker/schedule.go
@@ -30,6 +30,7 @@
 	linkDelay         kind = "link-delay"
 	evacuation        kind = "evacuation"
 	controlSilence    kind = "control-silence"
+	foreignHeartbeat  kind = "foreign-heartbeat"
 )
 
 // The kinds of what targets say in their answers: that they want no requests, one of them or all at once, that they take
@@ -67,6 +68,9 @@
 	// The same gap between two faults of the connections to controllers.
 	silenceGap    = 2 * time.Second
 	silenceSpread = 4 * time.Second
+	// The same gap between two heartbeats of other writers.
+	foreignGap    = 500 * time.Millisecond
+	foreignSpread = 3 * time.Second
 	// limitHold is how long a limit holds beyond the duration of its fault: it counts only after some seconds.
 	limitHold = 7 * time.Second
 )
@@ -101,7 +105,8 @@
 		}
 		out = append(out, f)
 	}
-	return slices.SortedStableFunc(slices.Values(slices.Concat(out, scheduleStatements(seed, length), scheduleSilence(seed, length))),
+	return slices.SortedStableFunc(slices.Values(slices.Concat(
+		out, scheduleStatements(seed, length), scheduleSilence(seed, length), scheduleForeign(seed, length))),
 		func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 }
 
@@ -132,3 +137,13 @@
 	}
 	return out
 }
+
+// scheduleForeign generates the heartbeats of other writers, from random numbers of their own.
+func scheduleForeign(seed uint64, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 4))
+	var out []fault
+	for at := foreignGap; at < length; at += foreignGap + time.Duration(random.Int64N(int64(foreignSpread))) {
+		out = append(out, fault{at: at, kind: foreignHeartbeat, index: random.IntN(1 << 16)})
+	}
+	return out
+}
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -94,6 +94,7 @@
 	}
 	s.runSchedule(ctx)
 	s.awaitRecovery(ctx)
+	s.awaitTargets(ctx)
 	stopLoad()
 	s.group.Wait()
 	s.checkEnd(ctx)
