A target starts at an address that was claimed with a higher number

What was seen: while the diff was read: a target whose name was not known yet was refused for good at an address that a record with a higher number holds, be it of another writer or of a target that has ended and had a clock that ran ahead; and its log line was to be without a name. Series of announcements also went on over any gap.

Cause: the series were part of the stored record of the same name, which such a target has not. Now they are kept by name, bounded, and a gap of a lease begins a new one. TestTargetStartsAtAnAddressWithAHigherNumber and TestHeartbeatsFarApartOverrideNothing failed before; TestClaimsAreBounded is new.

--- a/controller/internal/exchanger/announcements.go
+++ b/controller/internal/exchanger/announcements.go
@@ -14,9 +14,10 @@
 	"chervilrail.example/core/wire"
 )
 
-// Announce accepts a target's announcement and shares it with the other controllers, once a plan names its service. For a leaving target, it returns
-// without an error only once a majority of the voters have acknowledged the announcement. If only this controller had
-// it and were then disconnected, requests would still be sent to a target that was assured it receives none.
+// Announce accepts a target's announcement and shares it with the other controllers, once a plan names its service. For
+// a leaving target, it returns without an error only once a majority of the voters have acknowledged the announcement.
+// If only this controller had it and were then disconnected, requests would still be sent to a target that was assured
+// it receives none.
 //
 // It returns an error of registrar.CheckFormat for a malformed record, a NotJoinedError before this controller has
 // joined the group, and a NoQuorumError, a NotSavedError or a SupersededError if a leaving target is not acknowledged.
@@ -46,8 +47,12 @@
 		before := x.gossip.Marks()
 		position = x.gossip.Announce(now, r)
 		x.countAnnouncement(ctx, moved, x.gossip.Marks().Watched > before.Watched)
-		merged, _ := x.gossip.Target(r.GetName())
-		if !known || old.GetState() != merged.GetState() || old.GetIncarnation() != merged.GetIncarnation() ||
+		merged, stored := x.gossip.Target(r.GetName())
+		if !stored {
+			merged = r
+			_ = level.Warn(x.Logger).Log("msg", "target not recorded", "target", r.GetName(), "address", r.GetAddress(),
+				"incarnation", r.GetIncarnation(), "reason", "a higher number holds the address, or too many targets")
+		} else if !known || old.GetState() != merged.GetState() || old.GetIncarnation() != merged.GetIncarnation() ||
 			old.GetOverrides() != merged.GetOverrides() {
 			x.logAnnouncement(merged)
 		}
@@ -89,8 +94,8 @@
 // Leave records that a target has left. An incarnation of zero stands for the one known here. If the target is unknown
 // and names no incarnation, Leave returns an UnknownTargetError, and the target tries another controller: without an
 // incarnation, the record could not override delayed announcements of the target. A leave of an incarnation older than
-// the one in use is ignored, with a SupersededError. As in Announce, a NoQuorumError means that the record was not acknowledged in time, and an
-// error of registrar that the name or the incarnation is malformed.
+// the one in use is ignored, with a SupersededError. As in Announce, a NoQuorumError means that the record was not
+// acknowledged in time, and an error of registrar that the name or the incarnation is malformed.
 func (x *Exchanger) Leave(ctx context.Context, name string, incarnation uint64) error {
 	if err := cmp.Or(registrar.CheckName(name), registrar.CheckIncarnation(incarnation)); err != nil {
 		return err
--- a/core/gossiper/reserve.go
+++ b/core/gossiper/reserve.go
@@ -120,6 +120,7 @@
 		age := now.Sub(e.announcedAt)
 		if age >= reserveRetention {
 			g.reserve.remove(key)
+			continue
 		}
 		if e.direct && age >= silentAfter && !e.record.GetSilent() {
 			e.record = proto.CloneOf(e.record)
--- a/core/registrar/claim.go
+++ b/core/registrar/claim.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"maps"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,6 +16,8 @@
 	claimPeriod = 4 * time.Second
 	// claimCount is the least number of announcements in that period.
 	claimCount = 3
+	// maxClaims bounds the series that are kept.
+	maxClaims = 10_000
 )
 
 // claim is a series of announcements that count as old, because of a record with a higher number. Writers choose these
@@ -23,15 +26,18 @@
 	incarnation uint64
 	sequence    uint64
 	count       int
-	since       time.Time
+	// since is when the series began, heardAt when its last announcement arrived.
+	since   time.Time
+	heardAt time.Time
 }
 
 // add adds an announcement and reports whether the series is long enough. A series goes on only with a higher sequence,
-// and begins anew with another incarnation or after notBefore.
+// and begins anew with another incarnation, after notBefore, or after a gap.
 func (c *claim) add(now, notBefore time.Time, r *wire.Record) bool {
-	if c.count == 0 || c.incarnation != r.GetIncarnation() || c.since.Before(notBefore) {
+	if c.count == 0 || c.incarnation != r.GetIncarnation() || c.since.Before(notBefore) || now.Sub(c.heardAt) > Lease {
 		*c = claim{incarnation: r.GetIncarnation(), since: now}
 	}
+	c.heardAt = now
 	if c.count == 0 || r.GetSequence() > c.sequence {
 		c.sequence = r.GetSequence()
 		c.count++
@@ -39,30 +45,52 @@
 	return c.count >= claimCount && now.Sub(c.since) >= claimPeriod
 }
 
+// claimOf returns the series of a target, or nil if there are too many.
+func (g *Registrar) claimOf(now time.Time, name string) *claim {
+	if c, ok := g.claims[name]; ok {
+		return c
+	}
+	if g.claims == nil {
+		g.claims = map[string]*claim{}
+	}
+	if len(g.claims) >= maxClaims {
+		maps.DeleteFunc(g.claims, func(_ string, c *claim) bool { return now.Sub(c.heardAt) > Lease })
+	}
+	if len(g.claims) >= maxClaims {
+		return nil
+	}
+	c := &claim{}
+	g.claims[name] = c
+	return c
+}
+
 // Announce merges a target's own announcement like Merge, and reports whether it stored it. An announcement that counts
 // as old is stored, and overrides what stands against it, if the target has gone on announcing itself for claimPeriod
 // and nothing else was heard under its name or address. That a target leaves is final for its incarnation, and not
 // overridden.
 func (g *Registrar) Announce(now time.Time, r *wire.Record) bool {
-	old, ok := g.registrations[r.GetName()]
-	if ok {
+	old, known := g.registrations[r.GetName()]
+	holder, held := g.holder(r)
+	if known {
 		r = inherit(old.record, r)
 	}
-	if holder, held := g.holder(r); held {
+	if held {
 		r = inherit(holder.record, r)
 	}
 	if g.Merge(now, r) {
 		return true
 	}
-	if !ok || !encodable(r) || sameIncarnation(old.record, r) && hasLeft(old.record) {
+	if !known && !held || !encodable(r) || known && sameIncarnation(old.record, r) && hasLeft(old.record) {
 		return false
 	}
-	generation, heardAt := Generation(old.record), old.mergedAt
-	if holder, ok := g.holder(r); ok {
-		generation = max(generation, Generation(holder.record))
-		heardAt = later(heardAt, holder.mergedAt)
+	generation, heardAt := uint64(0), time.Time{}
+	for _, h := range []*registration{old, holder} {
+		if h != nil {
+			generation, heardAt = max(generation, Generation(h.record)), later(heardAt, h.mergedAt)
+		}
 	}
-	if !old.claim.add(now, heardAt, r) {
+	c := g.claimOf(now, r.GetName())
+	if c == nil || !c.add(now, heardAt, r) {
 		return false
 	}
 	overriding := proto.CloneOf(r)
@@ -86,11 +114,14 @@
 	return out
 }
 
-// holder returns the registration of another target that holds a record's address.
+// holder returns the registration of another target that holds a record's address, or nil and false.
 func (g *Registrar) holder(r *wire.Record) (*registration, bool) {
 	name := g.namesByAddress[r.GetAddress()]
 	h, ok := g.registrations[name]
-	return h, ok && name != r.GetName() && h.record.GetAddress() == r.GetAddress()
+	if !ok || name == r.GetName() || h.record.GetAddress() != r.GetAddress() {
+		return nil, false
+	}
+	return h, true
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/registrar/claim_test.go
+++ b/core/registrar/claim_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,6 +83,48 @@
 	}
 }
 
+// Guards against a target that never gets a request, because another one that has ended, or another writer, has claimed its
+// address with a higher number before it started.
+func TestTargetStartsAtAnAddressWithAHigherNumber(t *testing.T) {
+	is := is.New(t)
+	var g Registrar
+	u := newTarget(&g)
+	next := &target{g: &g, record: recordAt("next", 5, 0, "10.0.0.1:80", ready), now: u.now}
+	next.announce(2)
+	_, known := g.Get("next")
+	is.True(!known)
+	next.announce(2)
+	assertInUse(t, &g, "next", 5)
+	got, _ := g.Get("u")
+	is.Equal(got.GetState(), wire.TargetState_TARGET_GONE)
+}
+
+// Guards against single heartbeats, minutes apart, that count as a target that goes on announcing itself.
+func TestHeartbeatsFarApartOverrideNothing(t *testing.T) {
+	var g Registrar
+	u := newTarget(&g)
+	g.Announce(u.now, recordAt("u", 20, 1, "10.0.0.2:80", ready))
+	for range 10 {
+		u.now = u.now.Add(Lease)
+		u.announce(1)
+	}
+	assertInUse(t, &g, "u", 20)
+}
+
+// Guards against memory that announcements without effect take for good.
+func TestClaimsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var g Registrar
+	u := newTarget(&g)
+	for i := range 2 * maxClaims {
+		g.Announce(u.now, recordAt(fmt.Sprint("foreign", i), 1, 1, "10.0.0.1:80", ready))
+	}
+	is.Equal(len(g.claims), maxClaims)
+	u.now = u.now.Add(2 * Lease)
+	g.Announce(u.now, recordAt("foreign", 1, 1, "10.0.0.1:80", ready))
+	is.Equal(len(g.claims), 1)
+}
+
 // Guards against the same after a target has overridden such a record and starts again, or another starts at its
 // address: their numbers are lower than that of the record, too.
 func TestRestartsAfterAnOverriddenRecord(t *testing.T) {
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -37,6 +37,8 @@
 	registrations map[string]*registration
 	// namesByAddress holds the name of the target that claimed each address last.
 	namesByAddress map[string]string
+	// claims holds the announcements that count as old, by the target.
+	claims map[string]*claim
 }
 
 type registration struct {
@@ -44,7 +46,6 @@
 	expires time.Time
 	// mergedAt is when the record was stored.
 	mergedAt time.Time
-	claim    claim
 }
 
 // Check returns an AnnouncementError if an announcement is malformed or the catalogue does not allow it.
@@ -148,6 +149,7 @@
 		return false
 	}
 	g.registrations[r.GetName()] = &registration{record: r, expires: now.Add(Lease), mergedAt: now}
+	delete(g.claims, r.GetName())
 	return true
 }
 
