A disk that is emptied while its controller runs is a new one

Before, the process ended, and the platform's next start has the setting off.

Now only the first opening of a run founds the group; afterwards an empty folder gets a new identity, and the replica joins without a vote. A removed folder is created again. TestEmptiedDiskIsANewReplica fails without it.

--- a/controller/internal/consenter/consenter.go
+++ b/controller/internal/consenter/consenter.go
@@ -61,9 +61,11 @@
 	replica replicator.Replica
 	store   storer.Storer
 	refusal *refusal
-	state   keeper.Keeper
-	grants  granter.Granter
-	roster  roster
+	// opened is set once this run had a disk. If it is empty later, it is a new one and founds no group.
+	opened bool
+	state  keeper.Keeper
+	grants granter.Granter
+	roster roster
 	// proposals holds the proposals that callers wait for, by log index.
 	proposals map[uint64]*proposal
 	// committed is the log index of the last applied entry.
@@ -119,12 +121,15 @@
 	if err != nil {
 		return err
 	}
-	if err := c.bootstrap(recovered); err != nil {
-		return err
+	if !c.opened {
+		if err := c.bootstrap(recovered); err != nil {
+			return err
+		}
 	}
 	if err := c.ensureIdentity(recovered); err != nil {
 		return err
 	}
+	c.opened = true
 	c.recover(now, recovered)
 	c.state, c.committed, c.revision, c.catalogueNumber = keeper.Keeper{}, 0, 0, 0
 	return c.restore(recovered.Snapshot)
--- a/controller/internal/consenter/refusal_test.go
+++ b/controller/internal/consenter/refusal_test.go
@@ -207,3 +207,31 @@
 	var failed *storer.FileError
 	is.True(errors.As(c.Start(context.Background(), nil), &failed))
 }
+
+// Guards against a founder that founds the group again, with its former vote and without its log, when its disk is lost while
+// it runs.
+func TestEmptiedDiskIsANewReplica(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, false)
+	is.True(g.propose(t, 5*time.Second))
+	broken := (g.leader(t) + 1) % 3
+	g.assertInForce(t, broken)
+	c := g.controllers[broken]
+	g.disks[broken].full.Store(true)
+	is.True(g.propose(t, 5*time.Second))
+	is.NoErr(os.RemoveAll(c.Folder))
+	g.disks[broken].full.Store(false)
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if identity, err := os.ReadFile(c.Folder + "/identity"); err == nil && len(identity) > 0 {
+			break
+		}
+	}
+	status, err := c.Status(t.Context())
+	is.NoErr(err)
+	is.True(status != nil)
+	var incarnation uint64
+	is.NoErr(c.call(t.Context(), func(time.Time) { incarnation = c.Member.GetIncarnation() }))
+	is.True(incarnation != founderIncarnation)
+	is.True(g.propose(t, 5*time.Second))
+	g.assertInForce(t, broken)
+}
--- a/core/storer/recovery.go
+++ b/core/storer/recovery.go
@@ -26,6 +26,9 @@
 // the disk takes no bytes. What a failed write has left is removed first: after a failed sync it can be read although it
 // is not durable, and an entry in it would be acknowledged.
 func (s *Storer) Reopen() (*Recovered, error) {
+	if err := os.MkdirAll(s.Folder, folderMode); err != nil {
+		return nil, &FileError{Action: "create", Path: s.Folder, Cause: err}
+	}
 	if err := s.replaceFile(probeFile, make([]byte, probeSize)); err != nil {
 		return nil, err
 	}
