Closes of connections say what they leave unread and undelivered

The users' record of resets around a SIGTERM can't be told apart by anything that is logged: an answer discarded by the close, one cut at the end of the patience, or another end of the process. Each connection that a listener of ours has accepted now records, when it is closed, which end closed first, how many bytes lie unread and how many are not acknowledged: a line msg="connection closed" where either is not zero, and chervilrail_connections_closed_total. How connections are closed is unchanged.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -26,6 +26,7 @@
 	"chervilrail.example/controller/internal/selector"
 	"chervilrail.example/controller/internal/server"
 	"chervilrail.example/core/bounder"
+	"chervilrail.example/core/closer"
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/listener"
@@ -172,6 +173,7 @@
 		Counter: work,
 	}
 	operator := handlers.Operator()
+	closing := &closer.Closer{Logger: logs, Metrics: closer.NewMetrics(registry)}
 	k := &kernel.Kernel{
 		Logger: logs, StopTimeout: settings.StopTimeout, MemoryLimit: settings.MemoryLimit, Fatal: fatal,
 	}
@@ -183,7 +185,7 @@
 		exchange,
 		&listener.Listener{
 			ServiceName: "control", Address: settings.Control, Handler: handlers.Control(), Keys: controlKeys, Logger: logs,
-			Reserve: stopReserve,
+			Closer: closing, Reserve: stopReserve,
 		},
 		&listener.Listener{
 			ServiceName: "operator",
@@ -191,11 +193,12 @@
 			Handler:     operator,
 			Keys:        &securer.Keys{Files: settings.OperatorKeys},
 			Logger:      logs,
+			Closer:      closing,
 			Reserve:     stopReserve,
 		},
 	}
 	k.Services = append(k.Services, work)
-	k.Services = append(k.Services, platformListeners(settings, work, &translator.PlatformHandler{
+	k.Services = append(k.Services, platformListeners(settings, work, closing, &translator.PlatformHandler{
 		Changer: change, TargetRegistry: exchange, Selector: &selector.Selector{InstanceLister: exchange},
 		Regions: settings.Regions, Logger: logs, Bodies: &bounder.Bounder{Limit: settings.MemoryLimit / bodyMemoryPart},
 	})...)
@@ -228,7 +231,7 @@
 // platformListeners returns the listeners for calls of the users' platform, as far as the settings define their
 // addresses. The counter reports their connections.
 func platformListeners(
-	settings *config.Config, work *counter.Counter, handler *translator.PlatformHandler,
+	settings *config.Config, work *counter.Counter, closing *closer.Closer, handler *translator.PlatformHandler,
 ) []kernel.Service {
 	var listeners []*listener.Listener
 	var out []kernel.Service
@@ -240,7 +243,7 @@
 		if address.IsValid() {
 			l := &listener.Listener{
 				ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger,
-				Bound: bound, Reserve: stopReserve,
+				Closer: closing, Bound: bound, Reserve: stopReserve,
 			}
 			listeners = append(listeners, l)
 			out = append(out, l)
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/closer"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/prober"
 	"chervilrail.example/core/securer"
@@ -39,6 +40,8 @@
 	Logger      log.Logger
 	// Bound limits the open connections, possibly together with those of other listeners; nil stands for no limit.
 	Bound *Bound
+	// Closer closes the connections; nil stands for one without metrics.
+	Closer *closer.Closer
 	// Reserve is how much of the time for a planned stop is left for the services that stop after this one.
 	Reserve time.Duration
 
@@ -86,6 +89,10 @@
 	if l.Bound != nil {
 		socket = &boundedListener{socket, l.Bound}
 	}
+	if l.Closer == nil {
+		l.Closer = &closer.Closer{Logger: l.Logger}
+	}
+	socket = l.Closer.Listen(socket, l.ServiceName)
 	l.serving.Store(true)
 	go l.serve(socket)
 	return nil
--- a/core/prober/prober.go
+++ b/core/prober/prober.go
@@ -17,6 +17,14 @@
 	return count, ok && failure == nil
 }
 
+// Unread returns how many bytes have arrived on a connection and were not read. The second result is false if the
+// connection is not a socket or the system does not report it.
+func Unread(c net.Conn) (int, bool) {
+	count, failure := 0, error(nil)
+	ok := control(c, func(fd int) { count, failure = unix.IoctlGetInt(fd, unix.TIOCINQ) })
+	return count, ok && failure == nil
+}
+
 // Idle reports whether a connection is open and has nothing to read. If a target has closed an idle connection, the
 // next request on it would be reset; unexpected bytes would be taken for the response to the next request.
 func Idle(c net.Conn) bool {
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/urfave/cli/v3"
 
+	"chervilrail.example/core/closer"
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/listener"
@@ -102,6 +103,7 @@
 	broadcaster *broadcaster.Broadcaster
 	forwarder   *forwarder.Forwarder
 	quarantine  *quarantiner.Quarantiner
+	closer      *closer.Closer
 }
 
 func newProgram(path string, settings *config.Config) *program {
@@ -147,6 +149,7 @@
 	}
 	p.forwarder.Bodies.Limit = settings.MemoryLimit / bodyMemoryPart
 	p.registry.MustRegister(&collector{directory: p.directory})
+	p.closer = &closer.Closer{Logger: p.logger, Metrics: closer.NewMetrics(p.registry)}
 	return p
 }
 
@@ -183,7 +186,7 @@
 }
 
 func (p *program) newListener(title string, handler http.Handler) *listener.Listener {
-	l := &listener.Listener{ServiceName: title, Handler: handler, Logger: p.logger}
+	l := &listener.Listener{ServiceName: title, Handler: handler, Logger: p.logger, Closer: p.closer}
 	switch title {
 	case "peer":
 		l.Address, l.Keys = p.settings.Peer, p.controlKeys
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"chervilrail.example/core/closer"
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/listener"
@@ -52,6 +53,7 @@
 	locator  *locator.Locator
 	enforcer *enforcer.Enforcer
 	leaver   *leaver
+	closer   *closer.Closer
 }
 
 func newPlanProgram(path string, settings *config.Config) *planProgram {
@@ -86,6 +88,7 @@
 	p.carrier.Locator, p.carrier.Quotas = p.locator, p.enforcer
 	p.watcher.OnView, p.watcher.OnHosts, p.watcher.OnLoads = p.applyView, p.carrier.UpdateHosts, p.carrier.UpdateLoads
 	p.watcher.OnBackoffs = p.carrier.UpdateBackoffs
+	p.closer = &closer.Closer{Logger: p.logger, Metrics: closer.NewMetrics(p.registry)}
 	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, serveTime: settings.AnswerMaxAge, logger: p.logger}
 	return p
 }
@@ -134,14 +137,14 @@
 		p.locator,
 		p.enforcer,
 		p.watcher,
-		&listener.Listener{ServiceName: "operator", Address: s.Operator, Handler: operator, Logger: p.logger},
-		&listener.Listener{ServiceName: "caller", Address: s.Caller, Handler: p.carrier, Logger: p.logger},
-		&listener.Listener{ServiceName: "ready", Address: s.Ready, Handler: translator.Ready{Check: p.ready}, Logger: p.logger},
+		&listener.Listener{ServiceName: "operator", Address: s.Operator, Handler: operator, Logger: p.logger, Closer: p.closer},
+		&listener.Listener{ServiceName: "caller", Address: s.Caller, Handler: p.carrier, Logger: p.logger, Closer: p.closer},
+		&listener.Listener{ServiceName: "ready", Address: s.Ready, Handler: translator.Ready{Check: p.ready}, Logger: p.logger, Closer: p.closer},
 		p.leaver,
 	}
 	if s.Peer.IsValid() {
 		k.Services = slices.Insert(k.Services, 1, kernel.Service(&listener.Listener{
-			ServiceName: "peer", Address: s.Peer, Handler: p.locator.Handler(), Logger: p.logger,
+			ServiceName: "peer", Address: s.Peer, Handler: p.locator.Handler(), Logger: p.logger, Closer: p.closer,
 		}))
 	}
 	return k
