A close of ours discards no answer that is on its way

Cause: net/http closes a socket right after an answer with Connection: close, and idle ones when it shuts down. Bytes of a further request that are unread in the kernel, or arrive later, make the kernel reset the connection, and what the caller has not received by then is discarded, whole answers included. The server's own waiting close covers bodies that were cut short only.

Class: a close that is taken for the end of a delivery. All of our HTTP servers share core/listener, so it is mended there for all of them: package closer wraps accepted connections; Close sends our end, reads on and discards until the other end closes or 2 s have passed, and closes the socket then. While the process serves, 256 connections at most are drained so; the oldest gives way. A planned stop waits for them, at the end, within its time; half a second of it is kept for that at entry instances.

On the way, the same loss at idle connections: a server that stops could close one on which a request had just been read or had arrived. Such a close is declined until the request is answered, and a request read from a connection that was closed is not handled: it would run, and nobody would get its answer.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -180,6 +180,7 @@
 	registry.MustRegister(&server.Collector{Summary: consensus.Summary}, work)
 	reporter.Mount(operator, registry, k)
 	k.Services = []kernel.Service{
+		closing,
 		sender,
 		consensus,
 		exchange,
--- a/core/closer/closer.go
+++ b/core/closer/closer.go
@@ -1,65 +1,175 @@
-// Package closer closes accepted connections, and reports what a close leaves unread and undelivered.
+// Package closer closes accepted connections without discarding what was written to them.
 package closer
 
 import (
+	"container/list"
+	"context"
 	"errors"
 	"net"
 	"os"
+	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"chervilrail.example/core/kernel"
+)
+
+const (
+	// Timeout is how long the other end may take to close its side.
+	Timeout = 2 * time.Second
+	// maxDraining limits the connections that are drained at the same time while the process serves. They take
+	// descriptors, and callers that never close would take them all.
+	maxDraining = 256
+	drainBuffer = 1 << 10
+	// stopMargin is the part of the time for a planned stop that is left for the end of the process.
+	stopMargin = 50 * time.Millisecond
+	// pollInterval is how often Stop looks whether all connections are closed.
+	pollInterval = 5 * time.Millisecond
 )
 
-// Closer closes the connections of some listeners. Set the exported fields before use.
+// Closer is the service that closes the connections of some listeners. It has to stop after them. Set the exported fields
+// before use.
 type Closer struct {
 	Logger  log.Logger
 	Metrics *Metrics
+
+	mu sync.Mutex
+	// draining are the connections of which the other end has not closed its side, in the order of their closes.
+	draining list.List
+	// unlimited is set once a listener stops: then no further connection needs a descriptor.
+	unlimited bool
 }
 
 // closing is what is known of a connection at its close.
 type closing struct {
 	service string
 	remote  net.Addr
-	// ended is set if the other end closed first.
-	ended bool
+	begun   time.Time
 	// unread is how many bytes have arrived and were not read, undelivered how many were written and not acknowledged.
 	unread      int
 	undelivered int
+	// end is why the socket was closed.
+	end end
 }
 
-// Listen returns a listener whose connections are of type *Conn. The service is named in logs and metrics.
-func (c *Closer) Listen(socket net.Listener, service string) net.Listener {
-	return &listener{Listener: socket, closer: c, service: service}
+// end is why a socket was closed.
+type end string
+
+const (
+	// remoteFirst stands for the other end, which closed or reset the connection before this side did; remoteAfter for one
+	// that closed it then, and reset for one that reset it then.
+	remoteFirst end = "first"
+	remoteAfter end = "after"
+	reset       end = "reset"
+	// unused stands for a connection on which nothing was written.
+	unused end = "unused"
+	// timedOut stands for another end that did not close in time, evicted for one that gave way to later ones, and cut for
+	// the end of the time for a planned stop.
+	timedOut end = "timeout"
+	evicted  end = "evicted"
+	cut      end = "cut"
+)
+
+// draining is a connection of which the other end has not closed its side.
+type draining struct {
+	conn *Conn
+	// reason is why it is closed before that.
+	reason end
 }
 
-// record counts a close, and logs it if something was unread or undelivered.
-func (c *Closer) record(e closing) {
-	c.Metrics.record(e)
-	if e.unread == 0 && e.undelivered == 0 {
-		return
+// Name implements kernel.Service.
+func (c *Closer) Name() string { return "close" }
+
+// Start implements kernel.Service.
+func (c *Closer) Start(context.Context, kernel.Finder) error { return nil }
+
+// Health implements kernel.Service; it always returns nil.
+func (c *Closer) Health() error { return nil }
+
+// Stop waits until the other ends have closed their sides of all connections. Those that have not shortly before ctx ends
+// are closed.
+func (c *Closer) Stop(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		limited, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
+		defer cancel()
+		ctx = limited
+	}
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for c.count() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			c.abandon()
+			<-ticker.C // until these closes are counted and logged
+			return nil
+		}
 	}
-	_ = level.Info(c.Logger).Log("msg", "connection closed", "service", e.service, "remote", e.remote, "ended", e.ended,
-		"unread", e.unread, "undelivered", e.undelivered)
+	return nil
 }
 
-// listener accepts connections of type *Conn.
-type listener struct {
-	net.Listener
-	closer  *Closer
-	service string
+func (c *Closer) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draining.Len()
+}
+
+// abandon closes all connections that are drained.
+func (c *Closer) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.draining.Len() > 0 {
+		c.interrupt(c.draining.Front(), cut)
+	}
+}
+
+// interrupt ends the draining of a connection.
+func (c *Closer) interrupt(element *list.Element, reason end) {
+	d := element.Value.(*draining) //nolint:errcheck,forcetypeassert // the list holds nothing else
+	c.draining.Remove(element)
+	d.reason = reason
+	_ = d.conn.TCPConn.Close()
+}
+
+// add begins the draining of a connection. It evicts the one that has been drained for longest if there are too many.
+func (c *Closer) add(conn *Conn) *list.Element {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	element := c.draining.PushBack(&draining{conn: conn})
+	if c.draining.Len() > maxDraining && !c.unlimited {
+		c.interrupt(c.draining.Front(), evicted)
+	}
+	c.Metrics.addDraining(1)
+	return element
 }
 
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// drain closes the socket of a connection once the other end has closed its side, or after Timeout.
+func (c *Closer) drain(element *list.Element, e closing) {
+	d := element.Value.(*draining) //nolint:errcheck,forcetypeassert // the list holds nothing else
+	e.end = d.conn.drain(e.begun.Add(Timeout))
+	c.mu.Lock()
+	if d.reason != "" {
+		e.end = d.reason
 	}
-	socket, ok := accepted.(*net.TCPConn)
-	if !ok {
-		return accepted, nil
+	c.mu.Unlock()
+	_ = d.conn.socket.closeNow(d.conn, e)
+	c.mu.Lock()
+	c.draining.Remove(element)
+	c.mu.Unlock()
+	c.Metrics.addDraining(-1)
+}
+
+// record counts a close, and logs it unless both ends closed in an orderly way and nothing was left unread.
+func (c *Closer) record(e closing) {
+	c.Metrics.record(e)
+	orderly := e.end == remoteFirst || e.end == remoteAfter || e.end == unused
+	if orderly && e.unread == 0 {
+		return
 	}
-	return &Conn{TCPConn: socket, closer: l.closer, service: l.service}, nil
+	_ = level.Info(c.Logger).Log("msg", "connection closed", "service", e.service, "remote", e.remote, "end", e.end,
+		"unread", e.unread, "undelivered", e.undelivered, "took", time.Since(e.begun))
 }
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- /dev/null
+++ b/core/closer/socket.go
@@ -0,0 +1,88 @@
+package closer
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Socket is a listening socket whose connections are of type *Conn. Set the exported fields before Accept.
+type Socket struct {
+	net.Listener
+	Closer *Closer
+	// Service names the listener in logs and metrics.
+	Service string
+	// Encrypted is set if the connections are used by TLS.
+	Encrypted bool
+	// OnClose is called when a connection's descriptor has been closed; it may be nil.
+	OnClose func()
+
+	// cutting is set once connections are closed without waiting for the other end.
+	cutting atomic.Bool
+	mu      sync.Mutex
+	conns   map[*Conn]bool
+}
+
+// Accept implements net.Listener.
+func (s *Socket) Accept() (net.Conn, error) {
+	accepted, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	socket, ok := accepted.(*net.TCPConn)
+	if !ok {
+		return accepted, nil
+	}
+	c := &Conn{TCPConn: socket, socket: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = map[*Conn]bool{}
+	}
+	s.conns[c] = true
+	return c, nil
+}
+
+// Drain tells that the listener stops: as many of its connections as there are may be drained from now on.
+func (s *Socket) Drain() {
+	s.Closer.mu.Lock()
+	defer s.Closer.mu.Unlock()
+	s.Closer.unlimited = true
+}
+
+// Cut closes all connections that are still in use. Those that are drained go on.
+func (s *Socket) Cut() {
+	s.cutting.Store(true)
+	for _, c := range s.open() {
+		_ = c.Close()
+	}
+}
+
+func (s *Socket) open() []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// closeLater closes a connection once the other end has.
+func (s *Socket) closeLater(c *Conn, e closing) {
+	element := s.Closer.add(c)
+	go s.Closer.drain(element, e)
+}
+
+// closeNow closes a connection's descriptor.
+func (s *Socket) closeNow(c *Conn, e closing) error {
+	err := c.TCPConn.Close()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	s.Closer.record(e)
+	if s.OnClose != nil {
+		s.OnClose()
+	}
+	return err
+}
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -40,12 +40,16 @@
 	Logger      log.Logger
 	// Bound limits the open connections, possibly together with those of other listeners; nil stands for no limit.
 	Bound *Bound
-	// Closer closes the connections; nil stands for one without metrics.
+	// Closer closes the connections. It has to stop after the listener; nil stands for one that stops with it.
 	Closer *closer.Closer
 	// Reserve is how much of the time for a planned stop is left for the services that stop after this one.
 	Reserve time.Duration
 
-	server  *http.Server
+	server *http.Server
+	socket *closer.Socket
+	// ownCloser is set if Closer was nil.
+	ownCloser bool
+
 	serving atomic.Bool
 	// open is the number of connections that are open, accepted the number of all since Start.
 	open     atomic.Int64
@@ -67,7 +71,7 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	l.server = &http.Server{
-		Handler:           l.Handler,
+		Handler:           http.HandlerFunc(l.handle),
 		ReadHeaderTimeout: HeaderTimeout,
 		IdleTimeout:       IdleTimeout,
 		MaxHeaderBytes:    MaxHeader,
@@ -90,14 +94,35 @@
 		socket = &boundedListener{socket, l.Bound}
 	}
 	if l.Closer == nil {
-		l.Closer = &closer.Closer{Logger: l.Logger}
+		l.Closer, l.ownCloser = &closer.Closer{Logger: l.Logger}, true
+	}
+	l.socket = &closer.Socket{
+		Listener: socket, Closer: l.Closer, Service: l.ServiceName, Encrypted: l.Keys != nil, OnClose: l.release,
 	}
-	socket = l.Closer.Listen(socket, l.ServiceName)
 	l.serving.Store(true)
-	go l.serve(socket)
+	go l.serve(l.socket)
 	return nil
 }
 
+// release returns a connection's descriptor to the bound.
+func (l *Listener) release() {
+	if l.Bound != nil {
+		l.Bound.open.Add(-1)
+	}
+}
+
+// handle serves a request unless its connection has been closed since it was read.
+func (l *Listener) handle(w http.ResponseWriter, r *http.Request) {
+	c, ok := connection(r.Context()).(*closer.Conn)
+	if ok && r.ProtoMajor == 1 {
+		if !c.BeginRequest() {
+			panic(http.ErrAbortHandler)
+		}
+		defer c.EndRequest()
+	}
+	l.Handler.ServeHTTP(w, r)
+}
+
 func (l *Listener) serve(socket net.Listener) {
 	defer l.serving.Store(false)
 	var err error
@@ -122,9 +147,6 @@
 	case http.StateIdle:
 	case http.StateClosed, http.StateHijacked:
 		l.open.Add(-1)
-		if l.Bound != nil {
-			l.Bound.open.Add(-1)
-		}
 		l.removeUnused(c)
 	case http.StateActive:
 		l.removeUnused(c)
@@ -176,6 +198,15 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// connection returns the connection below TLS of the request with context ctx, or nil.
+func connection(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	if encrypted, ok := c.(*tls.Conn); ok {
+		return encrypted.NetConn()
+	}
+	return c
+}
+
 // CallerDisconnected reports whether the caller of the request with context ctx has closed its connection. It also
 // checks the socket, as the server detects the close only some time after it has read the request. When the process
 // resumes after a suspension, both may be waiting in the kernel.
@@ -183,13 +214,13 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	c, ok := ctx.Value(connKey{}).(net.Conn)
-	if tlsConn, encrypted := c.(*tls.Conn); encrypted {
-		c = tlsConn.NetConn()
-	}
-	return ok && prober.Closed(c)
+	c := connection(ctx)
+	return c != nil && prober.Closed(c)
 }
 
+// pollInterval is how often a planned stop looks whether all requests have ended.
+const pollInterval = 5 * time.Millisecond
+
 // unusedGrace is how long a planned stop leaves unused connections open, for requests that are on their way.
 const unusedGrace = 100 * time.Millisecond
 
@@ -199,18 +230,42 @@
 	if l.server == nil {
 		return nil
 	}
+	if l.ownCloser {
+		defer func() { _ = l.Closer.Stop(ctx) }() // always returns nil
+	}
+	limited := ctx
 	if deadline, ok := ctx.Deadline(); ok {
-		limited, cancel := context.WithDeadline(ctx, deadline.Add(-l.Reserve))
+		earlier, cancel := context.WithDeadline(ctx, deadline.Add(-l.Reserve))
 		defer cancel()
-		ctx = limited
+		limited = earlier
 	}
 	grace := time.AfterFunc(unusedGrace, l.closeUnused)
 	defer grace.Stop()
-	if err := l.server.Shutdown(ctx); err != nil {
-		open, _ := l.Connections()
-		_ = level.Warn(l.Logger).Log("msg", "requests cut by the stop", "service", l.ServiceName, "connections", open)
-		_ = l.server.Close()
-		return &CutError{Listener: l.ServiceName, Connections: open, Cause: err}
+	l.socket.Drain()
+	err := l.server.Shutdown(limited)
+	if err == nil {
+		err = l.awaitRequests(limited)
+	}
+	if err == nil {
+		return nil
+	}
+	open, _ := l.Connections()
+	_ = level.Warn(l.Logger).Log("msg", "requests cut by the stop", "service", l.ServiceName, "connections", open)
+	l.socket.Cut()
+	_ = l.server.Close()
+	return &CutError{Listener: l.ServiceName, Connections: open, Cause: err}
+}
+
+// awaitRequests waits for the requests on connections that the server took for idle when it stopped, and that were not.
+func (l *Listener) awaitRequests(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for l.open.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 	return nil
 }
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -159,6 +159,7 @@
 	operator := http.NewServeMux()
 	reporter.Mount(operator, p.registry, k)
 	k.Services = []kernel.Service{
+		p.closer,
 		&reloader.Reloader{Load: p.reload, Logger: p.logger},
 		p.requester,
 		p.directory,
@@ -186,7 +187,7 @@
 }
 
 func (p *program) newListener(title string, handler http.Handler) *listener.Listener {
-	l := &listener.Listener{ServiceName: title, Handler: handler, Logger: p.logger, Closer: p.closer}
+	l := &listener.Listener{ServiceName: title, Handler: handler, Logger: p.logger, Closer: p.closer, Reserve: closeReserve}
 	switch title {
 	case "peer":
 		l.Address, l.Keys = p.settings.Peer, p.controlKeys
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -41,6 +42,10 @@
 // with that of answers, and with what is freed late, it stays below the memory at which the garbage collector works harder.
 const bodyMemoryPart = 4
 
+// closeReserve is the part of the time for a planned stop that is left to deliver the last answers once requests in
+// progress have been cut.
+const closeReserve = time.Second / 2
+
 // planProgram holds the services of an entry instance that routes by a plan.
 type planProgram struct {
 	settings *config.Config
@@ -132,24 +137,29 @@
 	reporter.Mount(operator, p.registry, k)
 	s := p.settings
 	k.Services = []kernel.Service{
+		p.closer,
 		&reloader.Reloader{Load: p.reload, Logger: p.logger},
 		p.carrier,
 		p.locator,
 		p.enforcer,
 		p.watcher,
-		&listener.Listener{ServiceName: "operator", Address: s.Operator, Handler: operator, Logger: p.logger, Closer: p.closer},
-		&listener.Listener{ServiceName: "caller", Address: s.Caller, Handler: p.carrier, Logger: p.logger, Closer: p.closer},
-		&listener.Listener{ServiceName: "ready", Address: s.Ready, Handler: translator.Ready{Check: p.ready}, Logger: p.logger, Closer: p.closer},
+		p.newListener("operator", s.Operator, operator),
+		p.newListener("caller", s.Caller, p.carrier),
+		p.newListener("ready", s.Ready, translator.Ready{Check: p.ready}),
 		p.leaver,
 	}
 	if s.Peer.IsValid() {
-		k.Services = slices.Insert(k.Services, 1, kernel.Service(&listener.Listener{
-			ServiceName: "peer", Address: s.Peer, Handler: p.locator.Handler(), Logger: p.logger, Closer: p.closer,
-		}))
+		k.Services = slices.Insert(k.Services, 1, kernel.Service(p.newListener("peer", s.Peer, p.locator.Handler())))
 	}
 	return k
 }
 
+func (p *planProgram) newListener(title string, address netip.AddrPort, handler http.Handler) *listener.Listener {
+	return &listener.Listener{
+		ServiceName: title, Address: address, Handler: handler, Logger: p.logger, Closer: p.closer, Reserve: closeReserve,
+	}
+}
+
 // reload checks the settings file and applies its seeds. Addresses can't change while connections use them.
 func (p *planProgram) reload() error {
 	settings, err := config.Load(p.path)
