No further pause follows a controller's call that was not answered in time

Traced from the logs: three controllers in a row had said within 0.12 s that they had lost their links, so the pause after failures was at its most; the next call went over a connection gone silent, idle for 0.73 s (trusted up to 1.2 s), took 1.5 s, and a pause of 0.37 s followed. The pause keeps instances from calling again at once after quick failures; after a time-out it adds nothing.

TestUnansweredCallIsFollowedByNoFurtherPause fails without it.

--- a/entry/internal/watcher/silent_test.go
+++ b/entry/internal/watcher/silent_test.go
@@ -1,6 +1,7 @@
 package watcher
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http/httptest"
@@ -10,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/wire/wireconnect"
 )
 
@@ -164,3 +167,20 @@
 	t.Logf("in force after %v", time.Since(changed))
 	is.True(time.Since(changed) < doubleFailOverBound)
 }
+
+// Guards against a plan that reaches an instance seconds late: some controllers have just lost their links, a call to
+// the next one is not answered in time, and a pause as long as after quick failures follows the time-out.
+func TestUnansweredCallIsFollowedByNoFurtherPause(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w := &Watcher{Logger: log.NewNopLogger(), ctx: ctx}
+	w.state.avoidUntil, w.state.positions = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]position{}
+	for range 4 {
+		w.failOver(time.Now()) // controllers that report lost links
+	}
+	is.Equal(w.state.retryPause, maxRetryPause)
+	sent := time.Now().Add(-callTimeout)
+	w.handleError(outcome{call: &call{sent: sent, usage: &dialer.Usage{}}, err: &NoAnswerError{}})
+	is.True(!w.state.nextCall.After(time.Now()))
+}
--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -208,13 +208,13 @@
 	}
 }
 
-// pause sets the time of the next call after a failure, and doubles the pause after the next one. Half of it is random,
+// pause sets the time of the next call after a failure that began at a time, and doubles the pause after the next one. Half of it is random,
 // so that instances that failed together do not call together again.
-func (w *Watcher) pause(now time.Time) {
+func (w *Watcher) pause(begun time.Time) {
 	s := &w.state
 	pause := max(minRetryPause, s.retryPause)
 	s.retryPause = min(maxRetryPause, 2*pause)
-	s.nextCall = now.Add(pause/2 + rand.N(pause/2))
+	s.nextCall = begun.Add(pause/2 + rand.N(pause/2))
 }
 
 // poll makes one Watch call.
@@ -256,7 +256,7 @@
 		return
 	}
 	controller := s.controller
-	choice := w.failOver()
+	choice := w.failOver(time.Now())
 	_ = level.Warn(w.Logger).Log("msg", "controller can't reach most voters", "controller", controller,
 		"next", s.controller, "choice", choice)
 }
@@ -308,7 +308,7 @@
 	s := &w.state
 	s.failing = true
 	now := time.Now()
-	choice := w.failOver()
+	choice := w.failOver(o.call.sent)
 	_ = level.Warn(w.Logger).Log("msg", "controller does not answer", "controller", o.call.controller,
 		"connection", o.call.usage, "took", now.Sub(o.call.sent), "age", logger.Age(now, s.confirmed),
 		"next", s.controller, "choice", choice, "pause", s.nextCall.Sub(now), "err", o.err)
@@ -361,11 +361,12 @@
 
 // failOver avoids the present controller for a while and switches to another: one of this region if any is eligible,
 // else one of the known controllers and the seeds, because all known ones may have been replaced while this instance
-// was disconnected. If all of them failed lately, any of them is used. It returns how the controller was chosen.
-func (w *Watcher) failOver() choice {
+// was disconnected. If all of them failed lately, any of them is used. The pause before the next call counts from begun.
+// It returns how the controller was chosen.
+func (w *Watcher) failOver(begun time.Time) choice {
 	s := &w.state
 	now := time.Now()
-	w.pause(now)
+	w.pause(begun)
 	s.avoidUntil[s.controller] = now.Add(avoidTime)
 	all := append(slices.Clone(s.controllers), w.seeds()...)
 	if near := w.eligible(now, s.near); len(near) > 0 {
