Trial: a planned stop discards answers of callers that pipeline and read slowly

What callers saw: around a SIGTERM to an entry instance, a request that its target had run ended with a reset within the answer. Cause: the server closes a connection right after an answer with Connection: close while bytes of further requests are unread, so that the kernel resets it and discards what it had not delivered.

Real programs on loopback, 30 callers with a receive buffer of 2 KB and a pause of 20 ms before each body, answers of 30 KB after 60 ms, one SIGTERM.

The client for such callers is core/pipeliner, used by the tests of other modules too. Targets of platform/speaker can pad their answers.

--- /dev/null
+++ b/standin/internal/trials/pipeline_test.go
@@ -0,0 +1,138 @@
+package trials
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilrail.example/core/pipeliner"
+	"chervilrail.example/platform/speaker"
+	"chervilrail.example/standin/internal/starter"
+)
+
+const (
+	// slowBuffer is the receive buffer of a slow reader in bytes, slowPause its pause before the body of an answer.
+	slowBuffer = 2 << 10
+	slowPause  = 20 * time.Millisecond
+	// largeAnswer is the size of an answer in bytes, largeWork the time that a target works on it.
+	largeAnswer = 30 << 10
+	largeWork   = 60 * time.Millisecond
+	// stopAfter is how long callers are served before the instance is stopped.
+	stopAfter = time.Second
+	// receiveTimeout is how long a caller waits for the next answer.
+	receiveTimeout = 5 * time.Second
+)
+
+// slowCaller is a caller that keeps some requests on its connection unanswered and reads slowly.
+type slowCaller struct {
+	name    string
+	depth   int
+	address string
+
+	// sent are the ids of all requests in their order, whole is how many of them were answered completely, from the first
+	// on. Begun is set if a part of the next answer was received, last if the last whole answer ended the connection.
+	sent  []string
+	whole int
+	begun bool
+	last  bool
+	err   error
+}
+
+// run sends requests until the instance ends the connection.
+func (c *slowCaller) run(t *testing.T) {
+	conn, err := (&pipeliner.Pipeliner{ReceiveBuffer: slowBuffer, Pause: slowPause}).Dial(t.Context(), c.address)
+	if err != nil {
+		c.err = err
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	for !c.last {
+		for len(c.sent)-c.whole < c.depth {
+			c.send(conn)
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(receiveTimeout))
+		answer, err := conn.Receive()
+		if err != nil {
+			c.begun, c.err = answer != nil, err
+			return
+		}
+		c.whole++
+		c.last = answer.Last
+	}
+}
+
+// send sends one more request. If the instance has closed the connection, that shows in the next answer.
+func (c *slowCaller) send(conn *pipeliner.Conn) {
+	id := c.name + "-" + strconv.Itoa(len(c.sent))
+	c.sent = append(c.sent, id)
+	_ = conn.Get(fmt.Sprintf("/safe/%s?n=1", c.name), fmt.Sprintf(
+		"X-Chervilrail-Attempt-Id: %s\r\nX-Chervilrail-Deadline-Ms: 2000\r\nX-Chervilrail-Affinity-Key: %s\r\n", id, c.name))
+}
+
+// stopUnderSlowCallers serves slow callers and stops the only entry instance meanwhile.
+func (f *fleet) stopUnderSlowCallers(t *testing.T, depth int) []*slowCaller {
+	t.Helper()
+	var callers []*slowCaller
+	var group sync.WaitGroup
+	address := net.JoinHostPort(f.Entries[0].Address.String(), strconv.Itoa(starter.CallerPort))
+	for i := range 30 {
+		c := &slowCaller{name: fmt.Sprintf("slow%d-%d", depth, i), depth: depth, address: address}
+		callers = append(callers, c)
+		group.Go(func() { c.run(t) })
+	}
+	time.Sleep(stopAfter)
+	is.New(t).NoErr(f.Entries[0].Stop(timeout))
+	group.Wait()
+	return callers
+}
+
+// checkWhole fails if a request ran whose answer its caller did not receive completely.
+func (f *fleet) checkWhole(t *testing.T, callers []*slowCaller) {
+	t.Helper()
+	runs := map[string]int{}
+	for _, target := range f.targets {
+		maps.Copy(runs, target.Runs())
+	}
+	whole, cut, lost, behind, resets := 0, 0, 0, 0, 0
+	for _, c := range callers {
+		whole += c.whole
+		if errors.Is(c.err, syscall.ECONNRESET) {
+			resets++
+		}
+		for i, id := range c.sent[c.whole:] {
+			switch {
+			case i == 0 && c.begun:
+				cut++
+			case runs[id] > 0 && c.last:
+				behind++
+			case runs[id] > 0:
+				lost++
+			}
+		}
+	}
+	t.Logf("%d whole answers, %d of %d connections ended by a reset", whole, resets, len(callers))
+	if cut+lost+behind > 0 {
+		t.Errorf("%d answers were cut midway, %d requests ran and have no answer, %d ran behind the last answer",
+			cut, lost, behind)
+	}
+	is.New(t).True(whole > len(callers))
+}
+
+// Guards against answers that a planned stop discards: the instance closes a connection on which further requests have
+// arrived, and the caller sees a reset in place of answers that were written before.
+func TestStopDeliversAnswersToSlowCallers(t *testing.T) {
+	for name, depth := range map[string]int{"pipelining": 3, "one request at a time": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleetWith(t, 3, 1, 6, func(o *speaker.Target) { o.Work, o.Padding = largeWork, largeAnswer })
+			f.checkWhole(t, f.stopUnderSlowCallers(t, depth))
+		})
+	}
+}
--- a/standin/internal/trials/platform_test.go
+++ b/standin/internal/trials/platform_test.go
@@ -31,6 +31,12 @@
 }
 
 func startFleet(t *testing.T, controllers, entries, targets int) *fleet {
+	t.Helper()
+	return startFleetWith(t, controllers, entries, targets, func(*speaker.Target) {})
+}
+
+// startFleetWith is startFleet with a function that prepares each target.
+func startFleetWith(t *testing.T, controllers, entries, targets int, prepareTarget func(o *speaker.Target)) *fleet {
 	t.Helper()
 	is := is.New(t)
 	f := &fleet{PlatformSystem: &starter.PlatformSystem{System: prepare(t)}, objects: 7}
@@ -41,6 +47,7 @@
 			ID: fmt.Sprintf("t%d", i+1), Service: service, Zone: f.Places[i%len(f.Places)].Zone, Slots: 3,
 			Work: 10 * time.Millisecond, Controllers: f.PlatformURLs(),
 		}
+		prepareTarget(target)
 		is.NoErr(target.Start("127.0.0.1"))
 		t.Cleanup(target.Kill)
 		f.targets = append(f.targets, target)
