Drop the packets of tests in one place

The filter that drops arriving packets stood in the tests of dialer and pooler alike, and the tests of answers that a close discards need it too: with it an answer of a few bytes stays undelivered, as on a path that loses packets. It is now pipeliner.DropPackets. The tests of core/pipeliner, core/dialer and entry/internal/pooler pass.

--- a/core/dialer/dialer_test.go
+++ b/core/dialer/dialer_test.go
@@ -11,7 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
+
+	"chervilrail.example/core/pipeliner"
 )
 
 // callTimeout is longer than a call takes in this test and longer than the kernel's first retransmission time-out.
@@ -50,30 +51,10 @@
 	is.NoErr(call("first"))
 	is.Equal(<-bodies, "first")
 	accepted := <-connections
-	dropPackets(t, accepted, true)
+	is.NoErr(pipeliner.DropPackets(accepted, true))
 	is.True(call("given up") != nil)
-	dropPackets(t, accepted, false)
+	is.NoErr(pipeliner.DropPackets(accepted, false))
 	time.Sleep(3 * callTimeout)
 	is.NoErr(call("next"))
 	is.Equal(<-bodies, "next")
 }
-
-// dropPackets starts or stops dropping all packets that arrive on a connection.
-func dropPackets(t *testing.T, c net.Conn, on bool) {
-	t.Helper()
-	is := is.New(t)
-	filter := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
-	socket, ok := c.(*net.TCPConn)
-	is.True(ok)
-	raw, err := socket.SyscallConn()
-	is.NoErr(err)
-	is.NoErr(raw.Control(func(fd uintptr) {
-		if on {
-			err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
-				&unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
-			return
-		}
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-	}))
-	is.NoErr(err)
-}
--- a/core/dialer/silence_test.go
+++ b/core/dialer/silence_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"chervilrail.example/core/pipeliner"
 )
 
 // connections holds the connections that a test server has accepted.
@@ -24,7 +26,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, accepted := range c.list {
-		dropPackets(t, accepted, true)
+		is.New(t).NoErr(pipeliner.DropPackets(accepted, true))
 	}
 	return len(c.list)
 }
--- a/core/pipeliner/pipeliner.go
+++ b/core/pipeliner/pipeliner.go
@@ -99,3 +99,39 @@
 	body, err := io.ReadAll(response.Body)
 	return &Answer{response.StatusCode, response.Header, response.Close, body}, err
 }
+
+// Drop drops all packets that arrive on the connection, or no longer drops them. Meanwhile what the server sends is not
+// delivered, as on a path that loses packets: its kernel keeps the bytes and sends them again after 0.2 s, 0.6 s and 1.4 s.
+func (c *Conn) Drop(on bool) error { return DropPackets(c.Conn, on) }
+
+// DropPackets drops all packets that arrive on a connection, or no longer drops them. The error is a *SocketError if the
+// connection is not a socket.
+func DropPackets(c net.Conn, on bool) error {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return &SocketError{}
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failure error
+	err = raw.Control(func(fd uintptr) { failure = setFilter(int(fd), on) })
+	return errors.Join(err, failure)
+}
+
+// setFilter attaches a filter to a socket that no packet passes, or detaches it.
+func setFilter(fd int, on bool) error {
+	if !on {
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+	}
+	filter := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
+	return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+		&unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
+}
+
+// SocketError reports that a connection is not a socket.
+type SocketError struct{}
+
+// Error implements error.
+func (*SocketError) Error() string { return "connection is not a socket" }
--- a/entry/internal/pooler/pending_test.go
+++ b/entry/internal/pooler/pending_test.go
@@ -9,7 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
+
+	"chervilrail.example/core/pipeliner"
 )
 
 // cuttableTarget is a target that records its connections, so that the network path to it can be cut.
@@ -38,21 +39,10 @@
 func (k *cuttableTarget) setCut(t *testing.T, on bool) {
 	t.Helper()
 	is := is.New(t)
-	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, c := range k.open {
-		raw, err := c.SyscallConn()
-		is.NoErr(err)
-		is.NoErr(raw.Control(func(fd uintptr) {
-			if on {
-				err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
-					&unix.SockFprog{Len: uint16(len(drop)), Filter: &drop[0]})
-				return
-			}
-			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-		}))
-		is.NoErr(err)
+		is.NoErr(pipeliner.DropPackets(c, on))
 	}
 }
 
