--- a/controller/internal/cli/stop_test.go
+++ b/controller/internal/cli/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -63,10 +62,8 @@
 func startListener(t *testing.T) (kernel.Service, netip.AddrPort, *heldChanger) {
 	t.Helper()
 	is := is.New(t)
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := pipeliner.FreeAddress()
 	is.NoErr(err)
-	address := netip.MustParseAddrPort(socket.Addr().String())
-	is.NoErr(socket.Close())
 	held := &heldChanger{make(chan bool, 1), make(chan bool)}
 	services := platformListeners(&config.Config{Callers: address}, &counter.Counter{}, &translator.PlatformHandler{
 		Changer: held, TargetRegistry: held, Logger: log.NewNopLogger(),
--- a/core/pipeliner/pipeliner.go
+++ b/core/pipeliner/pipeliner.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -43,6 +44,16 @@
 	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, readSize), pause: p.Pause}
 }
 
+// FreeAddress returns a loopback address on which nothing listens.
+func FreeAddress() (netip.AddrPort, error) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = socket.Close() }()
+	return netip.ParseAddrPort(socket.Addr().String())
+}
+
 // readSize is the number of bytes read at once. It is small, so that a pause keeps an answer in the kernel.
 const readSize = 512
 
--- a/entry/internal/carrier/refusal_test.go
+++ b/entry/internal/carrier/refusal_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -35,20 +33,16 @@
 func listen(t *testing.T, c *Carrier) string {
 	t.Helper()
 	is := is.New(t)
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := pipeliner.FreeAddress()
 	is.NoErr(err)
-	address := socket.Addr().String()
-	is.NoErr(socket.Close())
-	l := &listener.Listener{
-		ServiceName: "caller", Address: netip.MustParseAddrPort(address), Handler: c, Logger: log.NewNopLogger(),
-	}
+	l := &listener.Listener{ServiceName: "caller", Address: address, Handler: c, Logger: log.NewNopLogger()}
 	is.NoErr(l.Start(t.Context(), nil))
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
 		defer cancel()
 		_ = l.Stop(ctx)
 	})
-	return address
+	return address.String()
 }
 
 // dial opens a connection that is closed when the test ends.
