--- a/controller/internal/cli/stop_test.go
+++ b/controller/internal/cli/stop_test.go
@@ -13,6 +13,7 @@
 
 	"chervilrail.example/controller/internal/config"
 	"chervilrail.example/controller/internal/counter"
+	"chervilrail.example/core/closer"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/pipeliner"
 	"chervilrail.example/core/wire"
@@ -65,7 +66,7 @@
 	address, err := pipeliner.FreeAddress()
 	is.NoErr(err)
 	held := &heldChanger{make(chan bool, 1), make(chan bool)}
-	services := platformListeners(&config.Config{Callers: address}, &counter.Counter{}, &translator.PlatformHandler{
+	services := platformListeners(&config.Config{Callers: address}, &counter.Counter{}, &closer.Closer{Logger: log.NewNopLogger()}, &translator.PlatformHandler{
 		Changer: held, TargetRegistry: held, Logger: log.NewNopLogger(),
 	})
 	is.Equal(len(services), 1)
--- a/core/listener/close_test.go
+++ b/core/listener/close_test.go
@@ -1,20 +1,16 @@
 package listener
 
 import (
-	"bufio"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
+
+	"chervilrail.example/core/pipeliner"
 )
 
 const (
@@ -66,50 +62,24 @@
 type slowCaller struct {
 	name  string
 	depth int
-	conn  net.Conn
+	conn  *pipeliner.Conn
 	// received are the paths of which the whole answer was read.
 	received map[string]bool
 }
 
-// dialSlow opens a connection with a small receive buffer.
-func dialSlow(t *testing.T, address string) net.Conn {
-	t.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
-		var failure error
-		err := c.Control(func(fd uintptr) {
-			failure = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-		})
-		if err != nil {
-			return err
-		}
-		return failure
-	}}
-	c, err := dialer.Dial("tcp", address)
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = c.Close() })
-	return c
-}
-
 // run sends and reads until the connection ends or an answer closes it.
 func (s *slowCaller) run() {
-	reader := bufio.NewReaderSize(s.conn, 512)
+	defer func() { _ = s.conn.Close() }()
 	for sent, read := 0, 0; ; read++ {
-		for sent < read+s.depth {
-			_, _ = fmt.Fprintf(s.conn, "GET %s HTTP/1.1\r\nHost: test\r\n\r\n", s.path(sent))
-			sent++
-		}
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			return
+		for ; sent < read+s.depth; sent++ {
+			_ = s.conn.Get(s.path(sent), "") // fails if the other end has closed; answers may still be on their way
 		}
-		time.Sleep(pause)
-		n, err := io.Copy(io.Discard, response.Body)
-		if err != nil || n != answerSize {
+		answer, err := s.conn.Receive()
+		if err != nil || len(answer.Body) != answerSize {
 			return
 		}
 		s.received[s.path(read)] = true
-		if response.Close {
-			_ = s.conn.Close()
+		if answer.Last {
 			return
 		}
 	}
@@ -128,9 +98,9 @@
 			callers := make([]*slowCaller, 20)
 			var group sync.WaitGroup
 			for i := range callers {
-				callers[i] = &slowCaller{
-					name: strconv.Itoa(i), depth: depth, conn: dialSlow(t, l.Address.String()), received: map[string]bool{},
-				}
+				c, err := (&pipeliner.Pipeliner{ReceiveBuffer: receiveBuffer, Pause: pause}).Dial(t.Context(), l.Address.String())
+				is.NoErr(err)
+				callers[i] = &slowCaller{name: strconv.Itoa(i), depth: depth, conn: c, received: map[string]bool{}}
 				group.Go(callers[i].run)
 			}
 			time.Sleep(10 * work)
