Only a stop declines to close a connection

A close was declined whenever a Read was in progress and bytes had arrived. The server's own close after a last answer could meet that, too, as its background read may start anew once the rest of a body was read; nobody would have closed the connection then. It is declined on idle connections only now.

--- a/core/closer/closer_test.go
+++ b/core/closer/closer_test.go
@@ -173,6 +173,7 @@
 	t.Run("arrived", func(t *testing.T) {
 		is := is.New(t)
 		local, remote := connect(t, listen(t))
+		local.SetIdle(true)
 		is.NoErr(local.SetReadDeadline(time.Now())) // a Read that has begun and not seen what arrives
 		write(t, remote, 1)
 		time.Sleep(settleTime)
--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -22,9 +22,11 @@
 	written atomic.Bool
 
 	mu sync.Mutex
-	// reading and serving are set while a Read, and a handler of an HTTP/1 request, are in progress.
+	// reading and serving are set while a Read, and a handler of an HTTP/1 request, are in progress; idle is set while the
+	// server waits for the first bytes of a request.
 	reading bool
 	serving bool
+	idle    bool
 	// ended is set once the other end has closed or reset the connection.
 	ended  bool
 	closed bool
@@ -84,6 +86,13 @@
 	return set(t)
 }
 
+// SetIdle tells whether the server waits for the first bytes of a request.
+func (c *Conn) SetIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
+}
+
 // BeginRequest reports whether an HTTP/1 request that was read from the connection may be handled: after Close its answer
 // couldn't be sent. Until EndRequest, Close has no effect.
 func (c *Conn) BeginRequest() bool {
@@ -100,8 +109,8 @@
 	c.serving = false
 }
 
-// Close implements net.Conn. It returns at once. It has no effect while an HTTP/1 request is handled or waits to be read:
-// a server that stops answers it and closes the connection again.
+// Close implements net.Conn. It returns at once. It has no effect while an HTTP/1 request is handled, or waits to be read
+// on an idle connection: a server that stops answers it and closes the connection again.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -134,7 +143,7 @@
 		return true
 	}
 	waiting, _ := prober.Unread(c.TCPConn)
-	return c.reading && waiting > 0
+	return c.idle && c.reading && waiting > 0
 }
 
 // state returns what is unread and undelivered at this moment.
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -139,6 +139,9 @@
 // observe keeps count of the connections, and of the unused ones. The server calls it with each change of a connection's
 // state.
 func (l *Listener) observe(c net.Conn, state http.ConnState) {
+	if accepted, ok := c.(*closer.Conn); ok {
+		accepted.SetIdle(state == http.StateNew || state == http.StateIdle)
+	}
 	switch state {
 	case http.StateNew:
 		l.open.Add(1)
