A refusal does not wait for the rest of a body that nobody reads

Known hopeless has to be refused at once.

Cause: net/http reads up to 256 KiB of an unread body before it writes the head of an answer, so that it can keep the connection. SkipBody waits 20 ms for what was sent with the head, and closes the connection with the answer otherwise; the drained close then delivers it.

--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/listener"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/entry/internal/pooler"
@@ -38,6 +39,7 @@
 	case out.answer != nil:
 		writeAnswer(w, j, out.answer)
 	default:
+		listener.SkipBody(w, j.request)
 		writeRefusal(w, out)
 	}
 }
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/granter"
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/listener"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/directory"
@@ -202,6 +203,7 @@
 		refusal = f.forward(w, j)
 	}
 	if refusal != nil {
+		listener.SkipBody(w, r)
 		refuser.Write(w, time.Now(), *refusal)
 	}
 }
