Settings: the times of a planned stop follow from the deployment's grace period

A deployment names the time from SIGTERM to SIGKILL in its settings (graceS), and the templates held fixed numbers that fit six seconds only: with less, a stop is killed in its middle; with more, it cuts what could still end.

Both programs take [timing] grace. patience is the grace period less kernel's stopMargin; answer of an entry instance is half of the period less that margin, 5 s at most. For 6 s the entry instance's times are as before (5.5 s and 2.5 s). A controller gets 5.5 s in place of 4 s: the patience is a bound, not a wait; its own calls take 3 s at most, and the delivery of the last answers comes on top. patience and answer stay settings and go before grace; patience must be below it. The templates fall back to the former numbers where the field is missing, since settings that can't be read keep a process from starting.

The tests of both config packages fill in the templates.

--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/parser"
 	"chervilrail.example/core/quoter"
 	"chervilrail.example/core/securer"
@@ -21,7 +22,9 @@
 	defaultStopTimeout  = 10 * time.Second
 	minElection         = 50 * time.Millisecond
 	maxElection         = time.Minute
-	maxControllers      = 8
+	// minGrace is the shortest grace period.
+	minGrace       = time.Second
+	maxControllers = 8
 	// defaultMaxVoters is the number of voters with which two may fail at once. Each further pair costs two more
 	// messages per change.
 	defaultMaxVoters = 5
@@ -62,7 +65,8 @@
 
 	// Election is the election timeout, Heartbeat the interval of the leader's heartbeats. ReplaceAfter is how long a
 	// controller must be silent before it may be replaced or removed. Lease is the lease duration of entry instances
-	// and their grants. StopTimeout bounds a planned stop.
+	// and their grants. StopTimeout bounds a planned stop; unless it is set, it follows from the grace period, after which
+	// the process may be killed.
 	Election     time.Duration
 	Heartbeat    time.Duration
 	ReplaceAfter time.Duration
@@ -147,11 +151,7 @@
 			c.readPeer(d, s, text)
 		}
 	case "timing":
-		c.Election = d.Duration(s, "election", defaultElection, minElection, maxElection)
-		c.Heartbeat = d.Duration(s, "heartbeat", defaultHeartbeat, time.Millisecond, maxElection)
-		c.ReplaceAfter = d.Duration(s, "replace", defaultReplaceAfter, minElection, time.Hour)
-		c.Lease = d.Duration(s, "lease", defaultLease, minElection, maxElection)
-		c.StopTimeout = d.Duration(s, "patience", defaultStopTimeout, time.Second, time.Hour)
+		c.readTiming(d, s)
 	case "quota":
 		c.Quotas = quoter.Tolerance{
 			Window:  d.Duration(s, "window", defaultQuotaWindow, minQuotaWindow, time.Minute),
@@ -175,6 +175,22 @@
 	}
 }
 
+func (c *Config) readTiming(d *parser.Document, s *parser.Section) {
+	c.Election = d.Duration(s, "election", defaultElection, minElection, maxElection)
+	c.Heartbeat = d.Duration(s, "heartbeat", defaultHeartbeat, time.Millisecond, maxElection)
+	c.ReplaceAfter = d.Duration(s, "replace", defaultReplaceAfter, minElection, time.Hour)
+	c.Lease = d.Duration(s, "lease", defaultLease, minElection, maxElection)
+	patience := defaultStopTimeout
+	grace := d.Duration(s, "grace", 0, minGrace, time.Hour)
+	if grace > 0 {
+		patience = kernel.StopTimeoutFor(grace)
+	}
+	c.StopTimeout = d.Duration(s, "patience", patience, time.Second, time.Hour)
+	if grace > 0 && c.StopTimeout >= grace {
+		d.Fault(s, "patience", "less than grace", c.StopTimeout.String())
+	}
+}
+
 // readTLS reads a section with the key files of one interface.
 func (c *Config) readTLS(d *parser.Document, s *parser.Section) {
 	files := securer.Files{
--- a/controller/internal/config/config_test.go
+++ b/controller/internal/config/config_test.go
@@ -98,3 +98,69 @@
 	_, err = Parse("example", []byte(exampleSettings(t)+"\n[memory]\nlimit = 1\n"))
 	is.True(err != nil)
 }
+
+// Guards against controllers that are killed in the middle of their planned stop, where a deployment gives them less time
+// than another.
+func TestTimeOfAStopFollowsFromTheGracePeriod(t *testing.T) {
+	cases := []struct{ name, timing, patience string }{
+		{"none", "", "10s"},
+		{"six seconds", "grace = 6s", "5.5s"},
+		{"shortest", "grace = 1s", "500ms"},
+		{"set itself", "grace = 6s\npatience = 4s", "4s"},
+		{"without a grace period", "patience = 4s", "4s"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			settings, err := Parse("seeded", []byte(settingsWithSeeds+"\n[timing]\n"+c.timing+"\n"))
+			is.NoErr(err)
+			is.Equal(settings.StopTimeout.String(), c.patience)
+		})
+	}
+	for _, timing := range []string{"grace = 6", "grace = s", "grace = 0s", "grace = 2h", "grace = 6s\npatience = 6s"} {
+		t.Run(timing, func(t *testing.T) {
+			_, err := Parse("seeded", []byte(settingsWithSeeds+"\n[timing]\n"+timing+"\n"))
+			is.New(t).True(err != nil)
+		})
+	}
+}
+
+// deployedSettings returns the deployment's settings with its placeholders filled in. The grace period is empty where the
+// deployment names none.
+func deployedSettings(t *testing.T, grace string) string {
+	t.Helper()
+	data, err := os.ReadFile("../../../deploy/controller.ini")
+	is.New(t).NoErr(err)
+	text := string(data)
+	hidden, shown := "#", "^"
+	if grace != "" {
+		hidden, shown = "^", "#"
+	}
+	const field = "terms.bounds.graceS"
+	before, rest, _ := strings.Cut(text, "{{"+hidden+field+"}}")
+	_, after, _ := strings.Cut(rest, "{{/"+field+"}}")
+	text = before + after
+	quotas, _, _ := strings.Cut(text, "{{#terms.bounds.quotaWindowS}}")
+	_, limits, _ := strings.Cut(text, "{{/terms.bounds.quotaWindowS}}")
+	return strings.NewReplacer(
+		"{{"+shown+field+"}}", "", "{{/"+field+"}}", "", "{{"+field+"}}", grace,
+		"{{#bootstrap}}", "", "{{/bootstrap}}", "", "{{#zones}}{{@}} = {{.}}", "almaty-a = almaty", "{{/zones}}", "",
+		"{{dataDir}}", "/data", "{{region}}", "almaty", "{{zone}}", "almaty-a", "{{ip}}", "10.1.0.37",
+		"{{listen.control}}", "10.1.0.37:8146", "{{listen.directory}}", "10.1.0.37:8147", "{{internalPorts.0}}", "7660",
+		"{{seeds}}", "10.1.0.37:8146,10.2.0.30:8146", "{{limits.memoryMb}}", "284", "{{limits.maxFds}}", "4100",
+	).Replace(quotas + limits)
+}
+
+// Guards against a deployment whose processes don't start, or stop later than they are killed.
+func TestDeployedSettings(t *testing.T) {
+	for grace, patience := range map[string]string{"6": "5.5s", "2.5": "2s", "": "4s"} {
+		t.Run("grace "+grace, func(t *testing.T) {
+			is := is.New(t)
+			text := deployedSettings(t, grace)
+			is.True(!strings.Contains(text, "{{"))
+			settings, err := Parse("deployed", []byte(text))
+			is.NoErr(err)
+			is.Equal(settings.StopTimeout.String(), patience)
+		})
+	}
+}
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -44,6 +44,13 @@
 	started []Service
 }
 
+// stopMargin is the time between the time-out of a planned stop and the end of the grace period: the process still has to
+// end, and on a busy machine both the signal and the end come late.
+const stopMargin = 500 * time.Millisecond
+
+// StopTimeoutFor returns the time-out of a planned stop for a grace period, the time from the request to stop to the kill.
+func StopTimeoutFor(grace time.Duration) time.Duration { return grace - stopMargin }
+
 // memoryShare is the part of the memory limit that is set as the Go runtime's soft limit, above which the garbage
 // collector works harder. The rest is for stacks, kernel buffers and memory that is freed late.
 const memoryShare = 0.6
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/parser"
 	"chervilrail.example/core/securer"
 )
@@ -16,7 +17,13 @@
 	defaultAnswerMaxAge  = 5 * time.Second
 	defaultStopTimeout   = 30 * time.Minute
 	minRenewInterval     = 10 * time.Millisecond
-	maxPort              = 1<<16 - 1
+	// minGrace and maxGrace bound the grace period.
+	minGrace = time.Second
+	maxGrace = 24 * time.Hour
+	// graceDivisor is the part of the grace period, one in so many, after which no new request may begin: the rest is for
+	// those that have begun by then.
+	graceDivisor = 2
+	maxPort      = 1<<16 - 1
 )
 
 // Config is an entry instance's checked settings.
@@ -47,7 +54,8 @@
 	// AnswerMaxAge is how long callers may keep the answer to a look-up. A planned stop serves requests for at least
 	// that long, within StopTimeout.
 	AnswerMaxAge time.Duration
-	// StopTimeout bounds how long a planned stop may take.
+	// StopTimeout bounds how long a planned stop may take. Unless they are set, it and AnswerMaxAge follow from the grace
+	// period, after which the process may be killed.
 	StopTimeout time.Duration
 
 	CallerKeys   securer.Files
@@ -123,9 +131,7 @@
 	case "controllers":
 		c.parseControllers(d, s)
 	case "timing":
-		c.RenewInterval = d.Duration(s, "renew", defaultRenewInterval, minRenewInterval, time.Minute)
-		c.AnswerMaxAge = d.Duration(s, "answer", defaultAnswerMaxAge, time.Second, time.Hour)
-		c.StopTimeout = d.Duration(s, "patience", defaultStopTimeout, time.Second, 24*time.Hour)
+		c.parseTiming(d, s)
 	case "tls":
 		c.parseTLS(d, s)
 	case "log":
@@ -137,6 +143,21 @@
 	}
 }
 
+func (c *Config) parseTiming(d *parser.Document, s *parser.Section) {
+	c.RenewInterval = d.Duration(s, "renew", defaultRenewInterval, minRenewInterval, time.Minute)
+	answer, patience := defaultAnswerMaxAge, defaultStopTimeout
+	grace := d.Duration(s, "grace", 0, minGrace, maxGrace)
+	if grace > 0 {
+		patience = kernel.StopTimeoutFor(grace)
+		answer = min(defaultAnswerMaxAge, patience-grace/graceDivisor)
+	}
+	c.AnswerMaxAge = d.Duration(s, "answer", answer, time.Second, time.Hour)
+	c.StopTimeout = d.Duration(s, "patience", patience, time.Second, maxGrace)
+	if grace > 0 && c.StopTimeout >= grace {
+		d.Fault(s, "patience", "less than grace", c.StopTimeout.String())
+	}
+}
+
 // parseSeeds reads controllers of which only the address for the platform's calls is known. Entry instances call them
 // at another port, the same on all controllers.
 func (c *Config) parseSeeds(d *parser.Document, s *parser.Section) {
--- a/entry/internal/config/config_test.go
+++ b/entry/internal/config/config_test.go
@@ -82,3 +82,68 @@
 		is.True(err != nil)
 	}
 }
+
+// Guards against instances that are killed in the middle of their planned stop, where a deployment gives them less time
+// than another, and against stops that end sooner than they must.
+func TestTimesOfAStopFollowFromTheGracePeriod(t *testing.T) {
+	cases := []struct{ name, timing, answer, patience string }{
+		{"none", "", "5s", "30m0s"},
+		{"six seconds", "grace = 6s", "2.5s", "5.5s"},
+		{"two and a half", "grace = 2.5s", "750ms", "2s"},
+		{"shortest", "grace = 1s", "0s", "500ms"},
+		{"long", "grace = 1m", "5s", "59.5s"},
+		{"set themselves", "grace = 6s\nanswer = 1s\npatience = 4s", "1s", "4s"},
+		{"without a grace period", "answer = 1s\npatience = 4s", "1s", "4s"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			settings, err := Parse("routed", []byte(planSettings+"\n[timing]\n"+c.timing+"\n"))
+			is.NoErr(err)
+			is.Equal(settings.AnswerMaxAge.String(), c.answer)
+			is.Equal(settings.StopTimeout.String(), c.patience)
+		})
+	}
+	for _, timing := range []string{"grace = 6", "grace = s", "grace = 0s", "grace = 25h", "grace = 6s\npatience = 6s"} {
+		t.Run(timing, func(t *testing.T) {
+			_, err := Parse("routed", []byte(planSettings+"\n[timing]\n"+timing+"\n"))
+			is.New(t).True(err != nil)
+		})
+	}
+}
+
+// deployedSettings returns the deployment's settings with its placeholders filled in. The grace period is empty where the
+// deployment names none.
+func deployedSettings(t *testing.T, grace string) string {
+	t.Helper()
+	data, err := os.ReadFile("../../../deploy/entry.ini")
+	is.New(t).NoErr(err)
+	text := string(data)
+	hidden, shown := "#", "^"
+	if grace != "" {
+		hidden, shown = "^", "#"
+	}
+	const field = "terms.bounds.graceS"
+	before, rest, _ := strings.Cut(text, "{{"+hidden+field+"}}")
+	_, after, _ := strings.Cut(rest, "{{/"+field+"}}")
+	return strings.NewReplacer(
+		"{{"+shown+field+"}}", "", "{{/"+field+"}}", "", "{{"+field+"}}", grace,
+		"{{node}}", "front-1", "{{region}}", "almaty", "{{zone}}", "almaty-a", "{{ip}}", "10.1.0.35",
+		"{{listen.frontend}}", "10.1.0.35:8144", "{{listen.readiness}}", "10.1.0.35:8140",
+		"{{internalPorts.0}}", "7660", "{{seeds}}", "10.1.0.37:8146,10.2.0.30:8146", "{{limits.memoryMb}}", "284",
+	).Replace(before + after)
+}
+
+// Guards against a deployment whose processes don't start, or stop later than they are killed.
+func TestDeployedSettings(t *testing.T) {
+	for grace, patience := range map[string]string{"6": "5.5s", "2.5": "2s", "": "5.5s"} {
+		t.Run("grace "+grace, func(t *testing.T) {
+			is := is.New(t)
+			text := deployedSettings(t, grace)
+			is.True(!strings.Contains(text, "{{"))
+			settings, err := Parse("deployed", []byte(text))
+			is.NoErr(err)
+			is.Equal(settings.StopTimeout.String(), patience)
+		})
+	}
+}
