--- a/core/listener/undelivered_test.go
+++ b/core/listener/undelivered_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// Guards against whole answers that are discarded because a later one on the connection breaks off, as when its target dies:
+// the handler aborts it, and the server closes the connection on which more requests have arrived.
+func TestAnswerBeforeAnAbortedOneIsDelivered(t *testing.T) {
+	is := is.New(t)
+	l := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/aborted" {
+			panic(http.ErrAbortHandler)
+		}
+		writeLarge(w, r)
+	})
+	defer func() { _ = stop(l) }()
+	c := dialSlow(t, l)
+	is.NoErr(c.Get("/", ""))
+	is.NoErr(c.Get("/aborted", ""))
+	is.NoErr(c.Get("/", "X: "+strings.Repeat("x", 8<<10)+"\r\n"))
+	assertAnswer(t, c, http.StatusOK, largeAnswer)
+	answer, err := c.Receive()
+	is.True(err != nil && answer == nil)
+}
+
 // Guards against callers that never learn that their header is too large, and repeat the request.
 func TestRefusalOfALargeHeaderIsDelivered(t *testing.T) {
 	is := is.New(t)
--- a/standin/internal/trials/pipeline_test.go
+++ b/standin/internal/trials/pipeline_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"maps"
 	"net"
+	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -136,3 +139,39 @@
 		})
 	}
 }
+
+// Guards against a reload, or a plan with another idle time, that closes connections which callers use.
+func TestReloadsAndPlansCloseNoConnection(t *testing.T) {
+	is := is.New(t)
+	f := startFleetWith(t, 3, 1, 2, func(o *speaker.Target) { o.Padding = largeAnswer })
+	address := net.JoinHostPort(f.Entries[0].Address.String(), strconv.Itoa(starter.CallerPort))
+	conn, err := (&pipeliner.Pipeliner{ReceiveBuffer: slowBuffer, Pause: slowPause}).Dial(t.Context(), address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	c := &slowCaller{name: "kept", depth: 3}
+	is.NoErr(syscall.Kill(f.Entries[0].PID(), syscall.SIGHUP))
+	plan := strings.Replace(speaker.Plan(2, 1, service), `"idleTimeoutS":15`, `"idleTimeoutS":1`, 1)
+	is.Equal(f.operator.Put(t.Context(), plan), http.StatusOK)
+	for end := time.Now().Add(changeBound); time.Now().Before(end); {
+		c.exchange(t, conn)
+	}
+	is.True(slices.Contains(f.plansAfter(t, 0, 0), 2))
+	time.Sleep(2 * time.Second) // longer than the plan's idle time
+	c.exchange(t, conn)
+}
+
+// exchange sends requests ahead and receives all their answers.
+func (c *slowCaller) exchange(t *testing.T, conn *pipeliner.Conn) {
+	t.Helper()
+	is := is.New(t)
+	for range c.depth {
+		c.send(conn)
+	}
+	for range c.depth {
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(receiveTimeout)))
+		answer, err := conn.Receive()
+		is.NoErr(err)
+		is.Equal(answer.Status, http.StatusOK)
+		is.True(!answer.Last)
+	}
+}
