A target's answer that came before the end of its request is read

Callers got 502 (may have run) for a large body whose target had refused it at once, as not run, and closed: the rest of the body could not be sent, and the answer that had arrived was discarded with the connection. The same class as a close of ours that discards answers, at the other end. The answer is read now before the attempt counts as broken; such a connection is not kept.

--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -90,8 +90,9 @@
 	head    *headReader
 	reader  *bufio.Reader
 	address netip.AddrPort
-	// fresh is set until the connection has carried a request.
-	fresh bool
+	// fresh is set until the connection has carried a request; unsent is set once a request could not be sent whole.
+	fresh  bool
+	unsent bool
 	// idleUntil is the time until which the idle connection may be reused.
 	idleUntil time.Time
 }
@@ -234,15 +235,25 @@
 	}
 }
 
-// roundTrip writes the request and reads its answer.
+// roundTrip writes the request and reads its answer. A target may answer before it has read a whole request, and close the
+// connection: its answer may have arrived though the rest of the request can't be sent.
 func (c *conn) roundTrip(r *Request, encoded []byte, held *buffers) (*Answer, Outcome, error) {
 	n, err := c.Write(encoded)
-	if err != nil {
-		if n == 0 && c.fresh {
-			return nil, Unsent, err
-		}
-		return nil, Broken, err
+	if err == nil {
+		return c.await(r, held)
+	}
+	if n == 0 && c.fresh {
+		return nil, Unsent, err
 	}
+	c.unsent = true
+	if answer, outcome, failure := c.await(r, held); failure == nil {
+		return answer, outcome, nil
+	}
+	return nil, Broken, err
+}
+
+// await reads answers until the one to the request.
+func (c *conn) await(r *Request, held *buffers) (*Answer, Outcome, error) {
 	for range maxUnexpectedAnswers + 1 {
 		answer, err := c.read(r, held)
 		if err != nil {
@@ -289,7 +300,7 @@
 
 // reusable reports whether the next request may use the connection: unexpected bytes would be taken for its answer.
 func (c *conn) reusable(a *Answer) bool {
-	return a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
+	return !c.unsent && a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
 }
 
 // WithheldError reports that a request was not sent because of what its Withhold returned.
