A stop answers the requests that arrive, and closes as little as it can early

- Callers that are asked to leave lost answers once 256 connections were drained: the limit was lifted only when the listener stopped (TestLeavingDeliversAnswersToManyCallers: 144 of 400).
It is lifted when the process begins to leave, is 1,024 before, and evicts connections to which everything was delivered first.
- A stop read requests that had arrived and dropped them, since net/http handles nothing any more once it shuts down (TestStopAnswersRequestsThatItReads; also on the code before).
The listener now stops first: it refuses new connections, closes each connection with its next answer, or as soon as it is idle with nothing arrived, and shuts the server down when none is in use.
- A request that crossed the close of an idle connection was read and discarded; callers repeat it only if it was not read (TestRequestsThatCrossAnIdleCloseAreNotRead).
With nothing to deliver, an idle connection is closed at once.
- The end of the time for a stop discarded whole answers before the request that it cut (TestCutDeliversEarlierAnswers), cut targets' answers of the last moments before the last sixth of the grace (TestStopLeavesTimeForAnswersOfTargets), and called idle connections cut requests (TestStopWithoutTimeCutsNoIdleConnections).
- A slow reader that went on receiving was cut after 2 s (TestCloseWaitsWhileAnswerIsRead): 2 s without progress now, 10 s in all.
- What is discarded is bounded: 16 MiB a connection, after which it is closed.

--- a/core/closer/closer.go
+++ b/core/closer/closer.go
@@ -14,15 +14,22 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/prober"
 )
 
 const (
-	// Timeout is how long the other end may take to close its side.
+	// Timeout is how long the other end may take to close its side, or to receive more of what was written, and maxTime how
+	// long it may take in all.
 	Timeout = 2 * time.Second
+	maxTime = 5 * Timeout
+	// maxDiscarded is how many bytes are read after the close of a connection: the largest body of a request.
+	maxDiscarded = 16 << 20
 	// maxDraining limits the connections that are drained at the same time while the process serves. They take
 	// descriptors, and callers that never close would take them all.
-	maxDraining = 256
-	drainBuffer = 1 << 10
+	maxDraining = 1024
+	// drainBuffer and maxDrainBuffer are sizes in bytes. Most connections need the first one only, for their end.
+	drainBuffer    = 512
+	maxDrainBuffer = 32 << 10
 	// stopMargin is the part of the time for a planned stop that is left for the end of the process.
 	stopMargin = 50 * time.Millisecond
 	// pollInterval is how often Stop looks whether all connections are closed.
@@ -38,7 +45,7 @@
 	mu sync.Mutex
 	// draining are the connections of which the other end has not closed its side, in the order of their closes.
 	draining list.List
-	// unlimited is set once a listener stops: then no further connection needs a descriptor.
+	// unlimited is set once the process stops: then callers are asked to leave, and few further connections come.
 	unlimited bool
 }
 
@@ -63,11 +70,12 @@
 	remoteFirst end = "first"
 	remoteAfter end = "after"
 	reset       end = "reset"
-	// unused stands for a connection on which nothing was written.
-	unused end = "unused"
-	// timedOut stands for another end that did not close in time, evicted for one that gave way to later ones, and cut for
-	// the end of the time for a planned stop.
+	// idle stands for a connection on which nothing was to be delivered.
+	idle end = "idle"
+	// timedOut stands for another end that did not close in time, excess for one that went on sending, evicted for one that
+	// gave way to later ones, and cut for the end of the time for a planned stop.
 	timedOut end = "timeout"
+	excess   end = "excess"
 	evicted  end = "evicted"
 	cut      end = "cut"
 )
@@ -88,6 +96,13 @@
 // Health implements kernel.Service; it always returns nil.
 func (c *Closer) Health() error { return nil }
 
+// Leave tells that the process stops: from now on as many connections may be drained as there are.
+func (c *Closer) Leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unlimited = true
+}
+
 // Stop waits until the other ends have closed their sides of all connections. Those that have not shortly before ctx ends
 // are closed.
 func (c *Closer) Stop(ctx context.Context) error {
@@ -139,16 +154,27 @@
 	defer c.mu.Unlock()
 	element := c.draining.PushBack(&draining{conn: conn})
 	if c.draining.Len() > maxDraining && !c.unlimited {
-		c.interrupt(c.draining.Front(), evicted)
+		c.interrupt(c.leastNeeded(), evicted)
 	}
 	c.Metrics.addDraining(1)
 	return element
 }
 
+// leastNeeded returns the first connection to which everything was delivered, or else the first.
+func (c *Closer) leastNeeded() *list.Element {
+	for e := c.draining.Front(); e != nil; e = e.Next() {
+		d := e.Value.(*draining) //nolint:errcheck,forcetypeassert // the list holds nothing else
+		if left, _ := prober.Unacknowledged(d.conn.TCPConn); left == 0 {
+			return e
+		}
+	}
+	return c.draining.Front()
+}
+
 // drain closes the socket of a connection once the other end has closed its side, or after Timeout.
 func (c *Closer) drain(element *list.Element, e closing) {
 	d := element.Value.(*draining) //nolint:errcheck,forcetypeassert // the list holds nothing else
-	e.end = d.conn.drain(e.begun.Add(Timeout))
+	e.end = d.conn.drain(e.begun)
 	c.mu.Lock()
 	if d.reason != "" {
 		e.end = d.reason
@@ -164,7 +190,7 @@
 // record counts a close, and logs it unless both ends closed in an orderly way and nothing was left unread.
 func (c *Closer) record(e closing) {
 	c.Metrics.record(e)
-	orderly := e.end == remoteFirst || e.end == remoteAfter || e.end == unused
+	orderly := e.end == remoteFirst || e.end == remoteAfter || e.end == idle
 	if orderly && e.unread == 0 {
 		return
 	}
--- a/core/closer/review_test.go
+++ b/core/closer/concurrency_test.go
@@ -136,7 +136,7 @@
 	}
 	group.Go(func() {
 		time.Sleep(settleTime / 2)
-		s.Drain()
+		s.Closer.Leave()
 		s.Cut()
 	})
 	endsWithin(t, 3*Timeout, group.Wait)
@@ -153,6 +153,7 @@
 	local, remote := connect(t, listen(t))
 	write(t, local, 1)
 	read(t, remote, 1)
+	local.SetIdle(true)
 	is.NoErr(local.Close())
 	write(t, remote, 100)
 	time.Sleep(settleTime)
--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -117,14 +117,33 @@
 	if c.closed || c.busy() {
 		return nil
 	}
+	return c.close()
+}
+
+// closeIdle closes a connection that is idle, if nothing has arrived on it, and reports whether it is still in use.
+func (c *Conn) closeIdle(unused bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	if c.idle && (unused || len(c.opening) > 0) && !c.busy() {
+		_ = c.close() // the other end has gone if it fails
+	}
+	return !c.closed
+}
+
+// close closes the connection. The caller holds mu.
+func (c *Conn) close() error {
 	c.closed = true
 	c.readEnds = make(chan struct{})
 	closing := c.state()
-	_ = c.CloseWrite() // fails if the other end has reset the connection, which drain notices
-	if c.ended || !c.written.Load() || c.socket.cutting.Load() {
-		prober.Discard(c.TCPConn)
+	// A caller repeats a request that crosses the close of an idle connection only if it was not read.
+	needless := c.ended || !c.written.Load() || c.idle && closing.undelivered == 0
+	if needless {
 		return c.socket.closeNow(c, closing)
 	}
+	_ = c.CloseWrite() // fails if the other end has reset the connection, which drain notices
 	if c.reading {
 		_ = c.TCPConn.SetReadDeadline(closing.begun)
 	} else {
@@ -134,9 +153,9 @@
 	return nil
 }
 
-// busy reports whether a server that closes the connection because it stops would cut off a request.
+// busy reports whether a close because the server stops would cut off a request.
 func (c *Conn) busy() bool {
-	if c.socket.Encrypted || string(c.opening) == http2Opening || c.socket.cutting.Load() {
+	if c.multiplexed() || c.socket.cutting.Load() {
 		return false
 	}
 	if c.serving {
@@ -146,27 +165,51 @@
 	return c.idle && c.reading && waiting > 0
 }
 
+// multiplexed reports whether the connection is used by a layer that closes it on its own: TLS or HTTP/2.
+func (c *Conn) multiplexed() bool { return c.socket.Encrypted || string(c.opening) == http2Opening }
+
+func (c *Conn) isMultiplexed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.multiplexed()
+}
+
 // state returns what is unread and undelivered at this moment.
 func (c *Conn) state() closing {
-	out := closing{service: c.socket.Service, remote: c.RemoteAddr(), begun: time.Now(), end: unused}
-	switch {
-	case c.ended:
+	out := closing{service: c.socket.Service, remote: c.RemoteAddr(), begun: time.Now(), end: idle}
+	if c.ended {
 		out.end = remoteFirst
-	case c.socket.cutting.Load():
-		out.end = cut
 	}
 	out.unread, _ = prober.Unread(c.TCPConn)
 	out.undelivered, _ = prober.Unacknowledged(c.TCPConn)
 	return out
 }
 
-// drain reads and discards until the other end closes, or until the deadline, and returns which of them it was.
-func (c *Conn) drain(deadline time.Time) end {
+// drain reads and discards until the other end closes, and returns how that ended. It gives up after Timeout in which
+// nothing more was delivered, after maxTime, and after maxDiscarded bytes.
+func (c *Conn) drain(begun time.Time) end {
 	<-c.readEnds
-	_ = c.TCPConn.SetReadDeadline(deadline)
-	var buffer [drainBuffer]byte
+	discarded := 0
+	left, _ := prober.Unacknowledged(c.TCPConn)
+	for deadline := begun.Add(Timeout); ; deadline = deadline.Add(Timeout) {
+		_ = c.TCPConn.SetReadDeadline(deadline)
+		if reason := c.discard(&discarded); reason != timedOut {
+			return reason
+		}
+		now, _ := prober.Unacknowledged(c.TCPConn)
+		if now >= left || deadline.Sub(begun) >= maxTime {
+			return timedOut
+		}
+		left = now
+	}
+}
+
+// discard reads until the other end closes, or until the read deadline.
+func (c *Conn) discard(sum *int) end {
+	buffer := make([]byte, drainBuffer)
 	for {
-		_, err := c.TCPConn.Read(buffer[:])
+		n, err := c.TCPConn.Read(buffer)
+		*sum += n
 		switch {
 		case errors.Is(err, io.EOF):
 			return remoteAfter
@@ -174,6 +217,11 @@
 			return timedOut
 		case err != nil:
 			return reset
+		case *sum > maxDiscarded:
+			return excess
+		}
+		if n == len(buffer) && n < maxDrainBuffer {
+			buffer = make([]byte, maxDrainBuffer)
 		}
 	}
 }
--- a/core/closer/socket.go
+++ b/core/closer/socket.go
@@ -17,8 +17,9 @@
 	// OnClose is called when a connection's descriptor has been closed; it may be nil.
 	OnClose func()
 
-	// cutting is set once connections are closed without waiting for the other end.
+	// cutting is set once requests in progress no longer keep connections open.
 	cutting atomic.Bool
+	once    sync.Once
 	mu      sync.Mutex
 	conns   map[*Conn]bool
 }
@@ -43,14 +44,26 @@
 	return c, nil
 }
 
-// Drain tells that the listener stops: as many of its connections as there are may be drained from now on.
-func (s *Socket) Drain() {
-	s.Closer.mu.Lock()
-	defer s.Closer.mu.Unlock()
-	s.Closer.unlimited = true
+// Close implements net.Listener. It may be called more than once.
+func (s *Socket) Close() error {
+	var err error
+	s.once.Do(func() { err = s.Listener.Close() })
+	return err
+}
+
+// CloseIdle closes the idle connections on which nothing has arrived; those on which no request has begun only if unused
+// is set. It returns how many of the others are in use, but for those of TLS and HTTP/2, which the server has to close.
+func (s *Socket) CloseIdle(unused bool) int {
+	inUse := 0
+	for _, c := range s.open() {
+		if !c.isMultiplexed() && c.closeIdle(unused) {
+			inUse++
+		}
+	}
+	return inUse
 }
 
-// Cut closes all connections that are still in use. Those that are drained go on.
+// Cut closes all connections that are still in use, with the requests in progress on them.
 func (s *Socket) Cut() {
 	s.cutting.Store(true)
 	for _, c := range s.open() {
--- a/core/listener/review_test.go
+++ b/core/listener/leave_test.go
@@ -42,10 +42,10 @@
 	var lost atomic.Int64
 	begin := make(chan bool)
 	for range 400 {
-		c := dialSlow(t, l.Address.String())
+		c := dialSlow(t, l)
 		group.Go(func() {
 			<-begin
-			if !readSlowly(c) {
+			if !readSlowly(c.Conn) {
 				lost.Add(1)
 			}
 			_ = c.Close()
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,11 +53,8 @@
 	// open is the number of connections that are open, accepted the number of all since Start.
 	open     atomic.Int64
 	accepted atomic.Int64
-
-	mu sync.Mutex
-	// unused are the connections on which no request has begun; stopping is set by Stop.
-	unused   map[net.Conn]bool
-	stopping bool
+	// stopping is set by Stop: from then on each answer closes its connection.
+	stopping atomic.Bool
 }
 
 // Name implements kernel.Service; it returns ServiceName.
@@ -120,6 +116,9 @@
 		}
 		defer c.EndRequest()
 	}
+	if l.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	l.Handler.ServeHTTP(w, r)
 }
 
@@ -131,13 +130,13 @@
 	} else {
 		err = l.server.Serve(socket)
 	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !l.stopping.Load() {
 		_ = level.Error(l.Logger).Log("msg", "listener failed", "service", l.ServiceName, "err", err)
 	}
 }
 
-// observe keeps count of the connections, and of the unused ones. The server calls it with each change of a connection's
-// state.
+// observe keeps count of the connections, and tells them when they are idle. The server calls it with each change of a
+// connection's state.
 func (l *Listener) observe(c net.Conn, state http.ConnState) {
 	if accepted, ok := c.(*closer.Conn); ok {
 		accepted.SetIdle(state == http.StateNew || state == http.StateIdle)
@@ -146,47 +145,9 @@
 	case http.StateNew:
 		l.open.Add(1)
 		l.accepted.Add(1)
-		l.addUnused(c)
-	case http.StateIdle:
 	case http.StateClosed, http.StateHijacked:
 		l.open.Add(-1)
-		l.removeUnused(c)
-	case http.StateActive:
-		l.removeUnused(c)
-	}
-}
-
-// addUnused records a connection on which no request has begun, or closes it if the listener stops.
-func (l *Listener) addUnused(c net.Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.stopping {
-		_ = c.Close()
-		return
-	}
-	if l.unused == nil {
-		l.unused = map[net.Conn]bool{}
-	}
-	l.unused[c] = true
-}
-
-func (l *Listener) removeUnused(c net.Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.unused, c)
-}
-
-// closeUnused closes the connections on which no request has begun. The server would wait for one for five seconds, and
-// clients keep such connections: they open one more while all are busy, and then use another that is free first.
-func (l *Listener) closeUnused() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stopping = true
-	if len(l.unused) > 0 {
-		_ = level.Info(l.Logger).Log("msg", "unused connections closed", "service", l.ServiceName, "connections", len(l.unused))
-	}
-	for c := range l.unused {
-		_ = c.Close()
+	case http.StateActive, http.StateIdle:
 	}
 }
 
@@ -227,8 +188,8 @@
 // unusedGrace is how long a planned stop leaves unused connections open, for requests that are on their way.
 const unusedGrace = 100 * time.Millisecond
 
-// Stop implements kernel.Service: it refuses new connections and waits for the requests in progress. It cuts those that
-// have not ended at the deadline of ctx less Reserve, and returns a CutError.
+// Stop implements kernel.Service: it refuses new connections and waits for the requests in progress and those that have
+// arrived. It cuts those that have not ended at the deadline of ctx less Reserve, and returns a CutError.
 func (l *Listener) Stop(ctx context.Context) error {
 	if l.server == nil {
 		return nil
@@ -242,12 +203,13 @@
 		defer cancel()
 		limited = earlier
 	}
-	grace := time.AfterFunc(unusedGrace, l.closeUnused)
-	defer grace.Stop()
-	l.socket.Drain()
-	err := l.server.Shutdown(limited)
+	l.Closer.Leave()
+	l.stopping.Store(true)
+	_ = l.socket.Close()
+	// Once the server shuts down, it reads requests and drops them.
+	err := l.awaitRequests(limited)
 	if err == nil {
-		err = l.awaitRequests(limited)
+		err = l.server.Shutdown(limited)
 	}
 	if err == nil {
 		return nil
@@ -259,14 +221,20 @@
 	return &CutError{Listener: l.ServiceName, Connections: open, Cause: err}
 }
 
-// awaitRequests waits for the requests on connections that the server took for idle when it stopped, and that were not.
+// awaitRequests closes connections as they become idle, until no request is in progress on the others, or until ctx ends.
+// Clients keep connections on which no request has begun: they open one more while all are busy, and then use another that
+// is free first.
 func (l *Listener) awaitRequests(ctx context.Context) error {
+	grace := time.Now().Add(unusedGrace)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for l.open.Load() > 0 {
+	for l.socket.CloseIdle(time.Now().After(grace)) > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			if l.socket.CloseIdle(true) == 0 {
+				return nil
+			}
 			return ctx.Err()
 		}
 	}
--- a/core/prober/prober.go
+++ b/core/prober/prober.go
@@ -25,21 +25,6 @@
 	return count, ok && failure == nil
 }
 
-// Discard reads and discards what has arrived on a connection, without waiting for more.
-func Discard(c net.Conn) {
-	control(c, func(fd int) {
-		var buffer [discardBuffer]byte
-		for {
-			if n, _, err := unix.Recvfrom(fd, buffer[:], unix.MSG_DONTWAIT); n <= 0 || err != nil {
-				return
-			}
-		}
-	})
-}
-
-// discardBuffer is the size in bytes of the buffer of Discard.
-const discardBuffer = 4 << 10
-
 // Idle reports whether a connection is open and has nothing to read. If a target has closed an idle connection, the
 // next request on it would be reset; unexpected bytes would be taken for the response to the next request.
 func Idle(c net.Conn) bool {
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -44,7 +44,7 @@
 
 // closeReserve is the part of the time for a planned stop that is left to deliver the last answers once requests in
 // progress have been cut.
-const closeReserve = time.Second / 2
+const closeReserve = time.Second / 5
 
 // planProgram holds the services of an entry instance that routes by a plan.
 type planProgram struct {
@@ -94,7 +94,7 @@
 	p.watcher.OnView, p.watcher.OnHosts, p.watcher.OnLoads = p.applyView, p.carrier.UpdateHosts, p.carrier.UpdateLoads
 	p.watcher.OnBackoffs = p.carrier.UpdateBackoffs
 	p.closer = &closer.Closer{Logger: p.logger, Metrics: closer.NewMetrics(p.registry)}
-	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, serveTime: settings.AnswerMaxAge, logger: p.logger}
+	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, closer: p.closer, serveTime: settings.AnswerMaxAge, logger: p.logger}
 	return p
 }
 
