An answer that a target sent before it had the whole request is read

What callers saw: 502, may have run, in place of a target's refusal, where the target answered before it had read the body and closed the connection. Cause: the attempt ended with the failed write, and the answer in our kernel was thrown away with the connection.

The answer is now read also then. One without a length isn't trusted: the failed write takes the reset, so that a truncated answer would look complete; without that check TestAnswerWithoutLengthBeforeTheEndOfTheRequestIsBroken fails.

--- a/entry/internal/pooler/early_test.go
+++ b/entry/internal/pooler/early_test.go
@@ -55,3 +55,17 @@
 		})
 	}
 }
+
+// Guards against a truncated answer that is taken for complete: it has no length, and the failed write of the request hides
+// that the connection was reset.
+func TestAnswerWithoutLengthBeforeTheEndOfTheRequestIsBroken(t *testing.T) {
+	is := is.New(t)
+	address := startEarlyTarget(t, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nbody", 0)
+	p := &Pooler{}
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	_, outcome, err := p.Send(ctx, address, request(strings.Repeat("x", earlyBody)))
+	is.True(err != nil)
+	is.Equal(outcome, Broken)
+}
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -92,6 +93,8 @@
 	address netip.AddrPort
 	// fresh is set until the connection has carried a request.
 	fresh bool
+	// partial is set if the request could not be written whole.
+	partial bool
 	// idleUntil is the time until which the idle connection may be reused.
 	idleUntil time.Time
 }
@@ -234,25 +237,33 @@
 	}
 }
 
-// roundTrip writes the request and reads its answer.
+// roundTrip writes the request and reads its answer. A target that refuses a request before it has read the body closes the
+// connection, so that the write fails; its answer may have arrived all the same.
 func (c *conn) roundTrip(r *Request, encoded []byte, held *buffers) (*Answer, Outcome, error) {
-	n, err := c.Write(encoded)
+	n, failure := c.Write(encoded)
+	if failure != nil && n == 0 && c.fresh {
+		return nil, Unsent, failure
+	}
+	c.partial = failure != nil
+	answer, err := c.readMatching(r, held)
 	if err != nil {
-		if n == 0 && c.fresh {
-			return nil, Unsent, err
-		}
-		return nil, Broken, err
+		return nil, Broken, cmp.Or(failure, err)
 	}
+	return answer, Answered, nil
+}
+
+// readMatching reads the answer to the request. It skips some answers to others.
+func (c *conn) readMatching(r *Request, held *buffers) (*Answer, error) {
 	for range maxUnexpectedAnswers + 1 {
 		answer, err := c.read(r, held)
 		if err != nil {
-			return nil, Broken, err
+			return nil, err
 		}
 		if r.Matches(answer.Header) {
-			return answer, Answered, nil
+			return answer, nil
 		}
 	}
-	return nil, Broken, &UnexpectedAnswerError{Address: c.address}
+	return nil, &UnexpectedAnswerError{Address: c.address}
 }
 
 // encode returns the bytes of a request. A body is sent with its Content-Length, however the caller sent it.
@@ -276,6 +287,10 @@
 	if err != nil {
 		return nil, err
 	}
+	unbounded := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if c.partial && unbounded { // the failed write has taken the reset, and the end would look orderly
+		return nil, io.ErrUnexpectedEOF
+	}
 	body, err := c.readBody(response.Body, response.ContentLength, held)
 	if err != nil {
 		return nil, err // the body is not closed: that would read the rest of it
@@ -289,7 +304,7 @@
 
 // reusable reports whether the next request may use the connection: unexpected bytes would be taken for its answer.
 func (c *conn) reusable(a *Answer) bool {
-	return a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
+	return !c.partial && a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
 }
 
 // WithheldError reports that a request was not sent because of what its Withhold returned.
