A truncated answer is not taken for complete after a failed write

A failed write takes the connection's reset, so that an answer without a length ends as if its target had closed in an orderly way: what had arrived of it would be passed on as complete.

--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -91,10 +91,9 @@
 	head    *headReader
 	reader  *bufio.Reader
 	address netip.AddrPort
-	// fresh is set until the connection has carried a request.
-	fresh bool
-	// partial is set if the request could not be written whole.
-	partial bool
+	// fresh is set until the connection has carried a request; unsent is set once a request could not be sent whole.
+	fresh  bool
+	unsent bool
 	// idleUntil is the time until which the idle connection may be reused.
 	idleUntil time.Time
 }
@@ -237,33 +236,35 @@
 	}
 }
 
-// roundTrip writes the request and reads its answer. A target that refuses a request before it has read the body closes the
-// connection, so that the write fails; its answer may have arrived all the same.
+// roundTrip writes the request and reads its answer. A target may answer before it has read a whole request, and close the
+// connection: its answer may have arrived though the rest of the request can't be sent.
 func (c *conn) roundTrip(r *Request, encoded []byte, held *buffers) (*Answer, Outcome, error) {
-	n, failure := c.Write(encoded)
-	if failure != nil && n == 0 && c.fresh {
-		return nil, Unsent, failure
+	n, err := c.Write(encoded)
+	if err == nil {
+		return c.await(r, held)
 	}
-	c.partial = failure != nil
-	answer, err := c.readMatching(r, held)
-	if err != nil {
-		return nil, Broken, cmp.Or(failure, err)
+	if n == 0 && c.fresh {
+		return nil, Unsent, err
+	}
+	c.unsent = true
+	if answer, outcome, failure := c.await(r, held); failure == nil {
+		return answer, outcome, nil
 	}
-	return answer, Answered, nil
+	return nil, Broken, err
 }
 
-// readMatching reads the answer to the request. It skips some answers to others.
-func (c *conn) readMatching(r *Request, held *buffers) (*Answer, error) {
+// await reads answers until the one to the request.
+func (c *conn) await(r *Request, held *buffers) (*Answer, Outcome, error) {
 	for range maxUnexpectedAnswers + 1 {
 		answer, err := c.read(r, held)
 		if err != nil {
-			return nil, err
+			return nil, Broken, err
 		}
 		if r.Matches(answer.Header) {
-			return answer, nil
+			return answer, Answered, nil
 		}
 	}
-	return nil, &UnexpectedAnswerError{Address: c.address}
+	return nil, Broken, &UnexpectedAnswerError{Address: c.address}
 }
 
 // encode returns the bytes of a request. A body is sent with its Content-Length, however the caller sent it.
@@ -288,7 +289,7 @@
 		return nil, err
 	}
 	unbounded := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if c.partial && unbounded { // the failed write has taken the reset, and the end would look orderly
+	if c.unsent && unbounded { // the failed write has taken the reset, and the end would look orderly
 		return nil, io.ErrUnexpectedEOF
 	}
 	body, err := c.readBody(response.Body, response.ContentLength, held)
@@ -304,7 +305,7 @@
 
 // reusable reports whether the next request may use the connection: unexpected bytes would be taken for its answer.
 func (c *conn) reusable(a *Answer) bool {
-	return !c.partial && a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
+	return !c.unsent && a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
 }
 
 // WithheldError reports that a request was not sent because of what its Withhold returned.
