--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -287,6 +288,10 @@
 	if err != nil {
 		return nil, err
 	}
+	unbounded := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if c.unsent && unbounded { // the failed write has taken the reset, and the end would look orderly
+		return nil, io.ErrUnexpectedEOF
+	}
 	body, err := c.readBody(response.Body, response.ContentLength, held)
 	if err != nil {
 		return nil, err // the body is not closed: that would read the rest of it
