--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -37,13 +37,8 @@
 	return "follower"
 }
 
-const (
-	maxBatch    = 256
-	maxInflight = 8
-	// driftDivisor is the divisor for the part of a lease that is deducted for clocks that run at different rates:
-	// 1/50.
-	driftDivisor = 50
-)
+// driftDivisor is the divisor for the part of a lease that is deducted for clocks that run at different rates: 1/50.
+const driftDivisor = 50
 
 // memberID distinguishes the disks of one replica name.
 type memberID struct {
@@ -80,10 +75,12 @@
 	commit   uint64
 	saved    uint64
 	applied  uint64
-	log      entryLog
-	votes    map[memberID]bool
-	peers    map[memberID]*progress
-	joiners  map[memberID]*wire.Member
+	// unsnapped is the size in bytes of the applied entries after the latest snapshot.
+	unsnapped int
+	log       entryLog
+	votes     map[memberID]bool
+	peers     map[memberID]*progress
+	joiners   map[memberID]*wire.Member
 
 	electionAt  time.Time
 	heartbeatAt time.Time
@@ -113,18 +110,24 @@
 
 // progress is what a leader records about another replica.
 type progress struct {
-	member   *wire.Member
-	next     uint64
-	match    uint64
-	inflight int
-	probing  bool
+	member  *wire.Member
+	next    uint64
+	match   uint64
+	window  window
+	probing bool
 	// confirmed is the send time of the latest round that the replica answered.
 	confirmed time.Time
 	// answered is the latest round that the replica answered.
 	answered uint64
 	// since is when this leader began to send to the replica.
-	since    time.Time
+	since time.Time
+	// progressAt is when the replica last acknowledged something that was under way, or when that was sent if nothing was
+	// under way before.
+	progressAt time.Time
+	// resendAt is when what is under way counts as lost.
 	resendAt time.Time
+	// receiving is the index of the snapshot that is under way, or 0.
+	receiving uint64
 }
 
 // Ready is the work that the caller has to carry out after a step, in this order: restore or save, send, apply.
@@ -238,9 +241,7 @@
 		return
 	}
 	for _, p := range r.others() {
-		if p.next <= r.log.last() {
-			r.sendAppend(now, p)
-		}
+		r.sendEntries(now, p)
 	}
 }
 
@@ -307,7 +308,7 @@
 		}
 	}
 	for _, p := range r.others() {
-		r.sendAppend(now, p)
+		r.sendHeartbeat(now, p)
 	}
 	r.advanceCommit()
 }
@@ -332,6 +333,9 @@
 	if r.commit > r.applied {
 		out.Commits = r.log.slice(r.applied+1, r.commit)
 		r.applied = r.commit
+		for _, e := range out.Commits {
+			r.unsnapped += entrySize(e)
+		}
 	}
 	return out
 }
@@ -344,13 +348,20 @@
 	}
 }
 
-// Compact replaces the log up to index by a snapshot of the state there, and returns the snapshot.
+// Compact makes a snapshot of the state at index, which must be the last applied one, and returns it. The entries that
+// the snapshot before it covers are dropped.
 func (r *Replica) Compact(index uint64, data []byte) *wire.Snapshot {
+	r.unsnapped = 0
 	return r.log.compact(index, data)
 }
 
-// LogLength returns how many entries are kept in memory after the last snapshot.
-func (r *Replica) LogLength() int { return len(r.log.entries) }
+// SinceSnapshot returns how many entries have been applied since the latest snapshot, and their size in bytes.
+func (r *Replica) SinceSnapshot() (entries uint64, bytes int) {
+	return r.applied - r.log.snapshot.GetIndex(), r.unsnapped
+}
+
+// SnapshotSize returns the size in bytes of the state in the latest snapshot.
+func (r *Replica) SnapshotSize() int { return len(r.log.snapshot.GetData()) }
 
 func (r *Replica) appendOwn(kind wire.EntryKind, data []byte) *wire.Entry {
 	e := &wire.Entry{Index: r.log.last() + 1, Term: r.term, Kind: kind, Data: data}
