Stops and heads of requests that are just arriving

A stop could close a connection between the arrival of a request and its handling, as the server takes it for idle until it has read the whole head (TestStopAnswersRequestsThatItReads, once under the race detector, traced to that window); it waits 100 ms for the rest of a head now (TestCloseLeavesConnectionsWithAHeadOpen). Answers of handlers that had begun before the stop kept their connections open (TestStopDeliversAcknowledgements/evacuation_before_another_call, each run since the listener stops before its server): keep-alive is switched off with the stop.

--- a/core/closer/closer.go
+++ b/core/closer/closer.go
@@ -22,6 +22,8 @@
 	// long it may take in all.
 	Timeout = 2 * time.Second
 	maxTime = 5 * Timeout
+	// headTime is how long a planned stop waits for the rest of a request's head.
+	headTime = 100 * time.Millisecond
 	// maxDiscarded is how many bytes are read after the close of a connection: the largest body of a request.
 	maxDiscarded = 16 << 20
 	// maxDraining limits the connections that are drained at the same time while the process serves. They take
--- a/core/closer/closer_test.go
+++ b/core/closer/closer_test.go
@@ -157,6 +157,22 @@
 	is.True(errors.Is(err, net.ErrClosed))
 }
 
+// Guards against a stop that closes a connection between the arrival of a request and its handling: the server still takes
+// the connection for idle. One on which no more than a part arrives must not hold up the stop.
+func TestCloseLeavesConnectionsWithAHeadOpen(t *testing.T) {
+	is := is.New(t)
+	s := listen(t)
+	local, remote := connect(t, s)
+	local.SetIdle(true)
+	write(t, remote, 10)
+	_, err := local.Read(make([]byte, 10))
+	is.NoErr(err)
+	is.NoErr(local.Close())
+	is.Equal(s.CloseIdle(true), 1)
+	time.Sleep(headTime)
+	is.Equal(s.CloseIdle(true), 0)
+}
+
 // Guards against a stop that closes a connection which the server takes for idle, while a request on it is handled or has
 // arrived.
 func TestCloseLeavesConnectionsWithRequestsOpen(t *testing.T) {
--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -27,6 +27,9 @@
 	reading bool
 	serving bool
 	idle    bool
+	// quietAt is when a head that has begun to arrive counts as incomplete. The server takes the connection for idle until it
+	// has read the whole head.
+	quietAt time.Time
 	// ended is set once the other end has closed or reset the connection.
 	ended  bool
 	closed bool
@@ -59,6 +62,12 @@
 		close(c.readEnds)
 		return 0, net.ErrClosed
 	}
+	if c.idle {
+		c.quietAt = time.Now().Add(headTime)
+	}
+	if err != nil {
+		c.quietAt = time.Time{}
+	}
 	if missing := len(http2Opening) - len(c.opening); missing > 0 {
 		c.opening = append(c.opening, b[:min(n, missing)]...)
 	}
@@ -91,6 +100,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = idle
+	c.quietAt = time.Time{}
 }
 
 // BeginRequest reports whether an HTTP/1 request that was read from the connection may be handled: after Close its answer
@@ -162,7 +172,7 @@
 		return true
 	}
 	waiting, _ := prober.Unread(c.TCPConn)
-	return c.idle && c.reading && waiting > 0
+	return c.idle && (c.reading && waiting > 0 || time.Now().Before(c.quietAt))
 }
 
 // multiplexed reports whether the connection is used by a layer that closes it on its own: TLS or HTTP/2.
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -53,7 +53,7 @@
 	// open is the number of connections that are open, accepted the number of all since Start.
 	open     atomic.Int64
 	accepted atomic.Int64
-	// stopping is set by Stop: from then on each answer closes its connection.
+	// stopping is set by Stop.
 	stopping atomic.Bool
 }
 
@@ -116,9 +116,6 @@
 		}
 		defer c.EndRequest()
 	}
-	if l.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	l.Handler.ServeHTTP(w, r)
 }
 
@@ -206,6 +203,7 @@
 	l.Closer.Leave()
 	l.stopping.Store(true)
 	_ = l.socket.Close()
+	l.server.SetKeepAlivesEnabled(false) // each further answer closes its connection
 	// Once the server shuts down, it reads requests and drops them.
 	err := l.awaitRequests(limited)
 	if err == nil {
