--- a/controller/internal/consenter/consenter.go
+++ b/controller/internal/consenter/consenter.go
@@ -25,8 +25,10 @@
 const (
 	queueLength = 4096
 	tickEvery   = 10 * time.Millisecond
-	// compactAfter is how many log entries are kept before a snapshot replaces them.
+	// compactAfter is how many log entries, and compactBytes how many bytes of them, are applied before a snapshot is made
+	// at the latest, unless the last snapshot was larger.
 	compactAfter = 8192
+	compactBytes = 8 << 20
 )
 
 // Sender sends messages to other controllers without blocking.
--- a/controller/internal/consenter/loop.go
+++ b/controller/internal/consenter/loop.go
@@ -150,8 +150,11 @@
 	}
 }
 
+// compact makes a snapshot once the applied entries since the last one weigh more than it, and at least compactBytes, or
+// are many. The log then takes at most about as many bytes again as the state, and so do snapshots of what is written.
 func (c *Consenter) compact() error {
-	if c.replica.LogLength() < compactAfter || c.committed == 0 {
+	entries, size := c.replica.SinceSnapshot()
+	if entries < compactAfter && size < max(compactBytes, c.replica.SnapshotSize()) {
 		return nil
 	}
 	data, err := c.state.Snapshot()
--- a/controller/internal/consenter/refusal_test.go
+++ b/controller/internal/consenter/refusal_test.go
@@ -50,6 +50,8 @@
 	disks       []*disk
 	fatal       chan error
 	version     uint64
+	// plan is what propose sends, with the next version.
+	plan *wire.Plan
 }
 
 // Send implements Sender. Addresses are 10.0.0.N for controller N.
@@ -114,7 +116,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), within)
 	defer cancel()
 	change := &wire.PlanChange{
-		Version: g.version + 1, Base: g.version, Digest: fmt.Append(nil, g.version+1), Plan: &wire.Plan{},
+		Version: g.version + 1, Base: g.version, Digest: fmt.Append(nil, g.version+1), Plan: g.plan,
 	}
 	for ctx.Err() == nil {
 		for _, c := range g.controllers {
--- a/core/replicator/log.go
+++ b/core/replicator/log.go
@@ -1,18 +1,34 @@
 package replicator
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"chervilrail.example/core/wire"
 )
 
-// entryLog holds the log after the latest snapshot, and the replica sets that its entries carry.
+// entryOverhead is about how many bytes an entry takes besides its data.
+const entryOverhead = 64
+
+// entrySize returns about how many bytes an entry takes in memory and in messages.
+func entrySize(e *wire.Entry) int { return len(e.GetData()) + entryOverhead }
+
+// entryLog holds the latest snapshot, the entries after base, and the replica sets that the entries after the snapshot
+// carry. Base is at or before the snapshot: the entries between them are kept for replicas that are a little behind.
 type entryLog struct {
 	snapshot *wire.Snapshot
+	base     position
 	entries  []*wire.Entry
 	configs  []indexedConfig
 }
 
+// position is the index of an entry and its term.
+type position struct {
+	index uint64
+	term  uint64
+}
+
 type indexedConfig struct {
 	index  uint64
 	config *wire.Config
@@ -23,29 +39,29 @@
 		snapshot = &wire.Snapshot{}
 	}
 	j.snapshot = snapshot
+	j.base = position{snapshot.GetIndex(), snapshot.GetTerm()}
 	j.entries = nil
 	j.configs = nil
 }
 
 func (j *entryLog) last() uint64 {
-	return j.snapshot.GetIndex() + uint64(len(j.entries))
+	return j.base.index + uint64(len(j.entries))
 }
 
 // term returns the term of the entry at index, or 0 if the log does not hold it.
 func (j *entryLog) term(index uint64) uint64 {
-	if index == j.snapshot.GetIndex() {
-		return j.snapshot.GetTerm()
+	if index == j.base.index {
+		return j.base.term
 	}
-	if index < j.snapshot.GetIndex() || index > j.last() {
+	if index < j.base.index || index > j.last() {
 		return 0
 	}
-	return j.entries[index-j.snapshot.GetIndex()-1].GetTerm()
+	return j.entries[index-j.base.index-1].GetTerm()
 }
 
 func (j *entryLog) slice(from, to uint64) []*wire.Entry {
-	base := j.snapshot.GetIndex()
 	out := make([]*wire.Entry, 0, to-from+1)
-	return append(out, j.entries[from-base-1:to-base]...)
+	return append(out, j.entries[from-j.base.index-1:to-j.base.index]...)
 }
 
 func (j *entryLog) append(entries ...*wire.Entry) {
@@ -74,7 +90,10 @@
 
 // truncate drops the entry at index and all later ones.
 func (j *entryLog) truncate(index uint64) {
-	j.entries = j.entries[:index-j.snapshot.GetIndex()-1]
+	kept := index - j.base.index - 1
+	// An entry that the array still held would take memory until the array is replaced.
+	clear(j.entries[kept:])
+	j.entries = j.entries[:kept]
 	for len(j.configs) > 0 && j.configs[len(j.configs)-1].index >= index {
 		j.configs = j.configs[:len(j.configs)-1]
 	}
@@ -105,18 +124,23 @@
 	return out
 }
 
+// compact makes a snapshot of the state at index the latest one. It keeps the entries after the former one: a replica that
+// has just received that, or is a little behind, goes on from the log. Otherwise, while large entries are added, a slow
+// replica would get one snapshot after the other.
 func (j *entryLog) compact(index uint64, data []byte) *wire.Snapshot {
 	if index <= j.snapshot.GetIndex() || index > j.last() {
 		return j.snapshot
 	}
+	former := j.snapshot
 	snapshot := &wire.Snapshot{
 		Index:  index,
 		Term:   j.term(index),
 		Config: j.configBefore(index),
 		Data:   data,
 	}
-	rest := j.slice(index+1, j.last())
-	j.reset(snapshot)
-	j.append(rest...)
+	kept := j.slice(former.GetIndex()+1, j.last())
+	j.configs = slices.DeleteFunc(j.configs, func(c indexedConfig) bool { return c.index <= index })
+	j.snapshot, j.entries = snapshot, kept
+	j.base = position{former.GetIndex(), former.GetTerm()}
 	return snapshot
 }
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -80,10 +80,12 @@
 	commit   uint64
 	saved    uint64
 	applied  uint64
-	log      entryLog
-	votes    map[memberID]bool
-	peers    map[memberID]*progress
-	joiners  map[memberID]*wire.Member
+	// unsnapped is the size in bytes of the applied entries after the latest snapshot.
+	unsnapped int
+	log       entryLog
+	votes     map[memberID]bool
+	peers     map[memberID]*progress
+	joiners   map[memberID]*wire.Member
 
 	electionAt  time.Time
 	heartbeatAt time.Time
@@ -332,6 +334,9 @@
 	if r.commit > r.applied {
 		out.Commits = r.log.slice(r.applied+1, r.commit)
 		r.applied = r.commit
+		for _, e := range out.Commits {
+			r.unsnapped += entrySize(e)
+		}
 	}
 	return out
 }
@@ -344,13 +349,20 @@
 	}
 }
 
-// Compact replaces the log up to index by a snapshot of the state there, and returns the snapshot.
+// Compact makes a snapshot of the state at index, which must be the last applied one, and returns it. The entries that
+// the snapshot before it covers are dropped.
 func (r *Replica) Compact(index uint64, data []byte) *wire.Snapshot {
+	r.unsnapped = 0
 	return r.log.compact(index, data)
 }
 
-// LogLength returns how many entries are kept in memory after the last snapshot.
-func (r *Replica) LogLength() int { return len(r.log.entries) }
+// SinceSnapshot returns how many entries have been applied since the latest snapshot, and their size in bytes.
+func (r *Replica) SinceSnapshot() (entries uint64, bytes int) {
+	return r.applied - r.log.snapshot.GetIndex(), r.unsnapped
+}
+
+// SnapshotSize returns the size in bytes of the state in the latest snapshot.
+func (r *Replica) SnapshotSize() int { return len(r.log.snapshot.GetData()) }
 
 func (r *Replica) appendOwn(kind wire.EntryKind, data []byte) *wire.Entry {
 	e := &wire.Entry{Index: r.log.last() + 1, Term: r.term, Kind: kind, Data: data}
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -56,7 +56,7 @@
 
 // sendAppend sends a replica the entries it lacks, or an empty heartbeat.
 func (r *Replica) sendAppend(now time.Time, p *progress) {
-	if p.next <= r.log.snapshot.GetIndex() {
+	if p.next <= r.log.base.index {
 		r.sendSnapshot(now, p)
 		return
 	}
@@ -267,7 +267,7 @@
 	r.log.reset(s)
 	r.pendingSnapshot = s
 	r.commit = s.GetIndex()
-	r.applied = s.GetIndex()
+	r.applied, r.unsnapped = s.GetIndex(), 0
 	r.saved = s.GetIndex()
 	r.firstUnsaved = s.GetIndex() + 1
 	r.voteUnsaved = true
