Bound the bytes of calls between controllers

Cause: up to 128 messages went into one call, whatever their size, three calls at the same time to each controller, and up to 1,024 messages waited for each.

Messages above 8 KiB now go one by one and in order, by one call at a time; at most 8 MiB of them, and one more, wait for one controller. Messages with entries keep behind them, as they would be rejected before them; all else overtakes them. Calls get the time for their bytes at 1 MiB/s on top of their time-out.

TestBytesOfCallsAreBounded fails without the change (large, larger than a batch) and passes with it; TestMessagesWithEntriesStayInOrder passes with both.

--- a/controller/internal/courier/courier.go
+++ b/controller/internal/courier/courier.go
@@ -20,11 +20,12 @@
 )
 
 const (
-	queueLength = 1024
-	maxBatch    = 128
-	callTimeout = 2 * time.Second
-	// callsPerPeer is how many calls to one controller may be in flight at once. With several of them, a call that
-	// hangs on an unresponsive connection does not delay the heartbeats queued behind it.
+	// callTimeout bounds a call, besides the time for its bytes at transferRate, in bytes a second.
+	callTimeout  = 2 * time.Second
+	transferRate = 1 << 20
+	// callsPerPeer is how many calls with small messages to one controller may be in flight at once. With several of
+	// them, a call that hangs on an unresponsive connection does not delay the heartbeats queued behind it. There is one
+	// more with a large message.
 	callsPerPeer = 3
 )
 
@@ -37,7 +38,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	mu     sync.Mutex
-	queues map[netip.AddrPort]chan *wire.Message
+	queues map[netip.AddrPort]*queue
 	group  sync.WaitGroup
 }
 
@@ -51,7 +52,7 @@
 		return err
 	}
 	c.client = client
-	c.queues = map[netip.AddrPort]chan *wire.Message{}
+	c.queues = map[netip.AddrPort]*queue{}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return nil
 }
@@ -71,38 +72,39 @@
 
 // Send queues a message for the controller at an address, or drops it if the queue is full.
 func (c *Courier) Send(address netip.AddrPort, m *wire.Message) {
-	select {
-	case c.queue(address) <- m:
-	default:
-	}
+	c.queue(address).add(m)
 }
 
 // queue returns the queue of an address. If there is none yet, queue creates it and starts its send loops.
-func (c *Courier) queue(address netip.AddrPort) chan *wire.Message {
+func (c *Courier) queue(address netip.AddrPort) *queue {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if q, ok := c.queues[address]; ok {
 		return q
 	}
-	q := make(chan *wire.Message, queueLength)
+	q := newQueue()
 	c.queues[address] = q
 	client := wireconnect.NewReplicasClient(c.client, c.Dialer.URL(address))
 	for range callsPerPeer {
-		c.group.Go(func() { c.sendLoop(address, client, q) })
+		c.group.Go(func() { c.sendLoop(address, client, q.nextSmall) })
 	}
+	c.group.Go(func() { c.sendLoop(address, client, q.nextLarge) })
 	return q
 }
 
 // sendLoop sends queued messages in batches, and logs when the controller's reachability changes.
-func (c *Courier) sendLoop(address netip.AddrPort, client wireconnect.ReplicasClient, q chan *wire.Message) {
+func (c *Courier) sendLoop(
+	address netip.AddrPort, client wireconnect.ReplicasClient, next func(context.Context) (batch, bool),
+) {
 	failing := false
 	for {
-		batch, ok := c.nextBatch(q)
+		b, ok := next(c.ctx)
 		if !ok {
 			return
 		}
 		ctx, usage := dialer.WithUsage(c.ctx)
-		err := c.deliver(ctx, client, batch)
+		err := c.deliver(ctx, client, b)
+		b.done()
 		if (err != nil) != failing {
 			failing = err != nil
 			_ = level.Warn(c.Logger).Log("msg", "peer", "address", address, "reachable", !failing, "connection", usage,
@@ -111,31 +113,11 @@
 	}
 }
 
-// nextBatch waits for a message and returns it with others that are queued, at most maxBatch. It returns false if the
-// service stops.
-func (c *Courier) nextBatch(q chan *wire.Message) ([]*wire.Message, bool) {
-	var batch []*wire.Message
-	select {
-	case m := <-q:
-		batch = append(batch, m)
-	case <-c.ctx.Done():
-		return nil, false
-	}
-	for len(batch) < maxBatch {
-		select {
-		case m := <-q:
-			batch = append(batch, m)
-		default:
-			return batch, true
-		}
-	}
-	return batch, true
-}
-
 // deliver sends a batch in one call. Its messages are not retried here.
-func (c *Courier) deliver(ctx context.Context, client wireconnect.ReplicasClient, batch []*wire.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (c *Courier) deliver(ctx context.Context, client wireconnect.ReplicasClient, b batch) error {
+	transfer := time.Duration(b.bytes) * time.Second / transferRate
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+transfer)
 	defer cancel()
-	_, err := client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{Messages: batch}))
+	_, err := client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{Messages: b.messages}))
 	return err
 }
