--- a/core/storer/storer.go
+++ b/core/storer/storer.go
@@ -17,10 +17,12 @@
 )
 
 const (
-	identityFile   = "identity"
-	probeFile      = "probe"
-	segmentPrefix  = "log-"
-	snapshotPrefix = "snapshot-"
+	identityFile = "identity"
+	probeFile    = "probe"
+	// temporarySuffix marks files that are being written.
+	temporarySuffix = ".new"
+	segmentPrefix   = "log-"
+	snapshotPrefix  = "snapshot-"
 	// segmentLimit is the size in bytes at which a new segment is started.
 	segmentLimit = 8 << 20
 	folderMode   = 0o750
@@ -63,6 +65,9 @@
 	if err := os.MkdirAll(s.Folder, folderMode); err != nil {
 		return nil, &FileError{Action: "create", Path: s.Folder, Cause: err}
 	}
+	if err := s.removeTemporary(); err != nil {
+		return nil, err
+	}
 	s.lastIndexes = map[uint64]uint64{}
 	out := &Recovered{Vote: &wire.Vote{}}
 	identity, err := s.readIdentity()
@@ -224,7 +229,7 @@
 // part.
 func (s *Storer) replaceFile(name string, data []byte) error {
 	path := filepath.Join(s.Folder, name)
-	temporary := path + ".new"
+	temporary := path + temporarySuffix
 	file, err := s.open(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return &FileError{Action: "create", Path: temporary, Cause: err}
@@ -246,6 +251,21 @@
 	return s.syncFolder()
 }
 
+// removeTemporary removes the files that a crash has left half written. Each snapshot has a name of its own, so that a
+// controller which is killed again and again while it writes one would fill its disk.
+func (s *Storer) removeTemporary() error {
+	left, err := filepath.Glob(filepath.Join(s.Folder, "*"+temporarySuffix))
+	if err != nil {
+		return &FileError{Action: "list", Path: s.Folder, Cause: err}
+	}
+	for _, path := range left {
+		if err := os.Remove(path); err != nil {
+			return &FileError{Action: "remove", Path: path, Cause: err}
+		}
+	}
+	return nil
+}
+
 func (s *Storer) syncFolder() error {
 	folder, err := os.Open(s.Folder)
 	if err != nil {
@@ -266,7 +286,7 @@
 	var names []string
 	for _, f := range found {
 		name := f.Name()
-		if strings.HasPrefix(name, prefix) && !strings.HasSuffix(name, ".new") {
+		if strings.HasPrefix(name, prefix) && !strings.HasSuffix(name, temporarySuffix) {
 			names = append(names, name)
 		}
 	}
--- a/core/storer/storer_test.go
+++ b/core/storer/storer_test.go
@@ -195,3 +195,19 @@
 	is.Equal(len(r.Entries), 0)
 	is.Equal(r.Snapshot.GetIndex(), uint64(30))
 }
+
+// Guards against a disk that fills with parts of snapshots while a controller is killed again and again as it writes them.
+func TestPartsOfFilesAreRemovedAtTheStart(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	for _, name := range []string{"snapshot-00000000000000000007.new", "identity.new"} {
+		is.NoErr(os.WriteFile(filepath.Join(folder, name), make([]byte, 1000), 0o600))
+	}
+	s := &Storer{Folder: folder}
+	_, err := s.Open()
+	is.NoErr(err)
+	is.NoErr(s.Close())
+	left, err := filepath.Glob(filepath.Join(folder, "*.new"))
+	is.NoErr(err)
+	is.Equal(len(left), 0)
+}
