Store a resent change of the configuration once

Callers saw: nothing by itself; when acknowledgements are lost, each repetition of a change was stored whole in the log once more.

The leader, while its lease is valid, now acknowledges a change again that it has applied. A repetition of a change that isn't applied yet is still stored. TestResentChangeIsNotStoredAgain fails without the change and passes with it.

--- a/controller/internal/consenter/compaction_test.go
+++ b/controller/internal/consenter/compaction_test.go
@@ -80,3 +80,29 @@
 		is.Equal(len(c.Routing().Plan.GetServices()[0].GetName()), largePlan)
 	}
 }
+
+// Guards against a log that grows by a whole configuration each time that a change is sent again because its acknowledgement
+// was lost.
+func TestResentChangeIsNotStoredAgain(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, false)
+	g.plan = &wire.Plan{Services: []*wire.Service{{Name: strings.Repeat("s", largePlan)}}}
+	is.True(g.propose(t, 20*time.Second))
+	before := g.commit(t)
+	for range 10 {
+		g.version = 0
+		is.True(g.propose(t, 20*time.Second)) // it is acknowledged again
+	}
+	is.True(g.commit(t) < before+10)
+}
+
+// commit returns the newest log index that a controller has applied.
+func (g *group) commit(t *testing.T) uint64 {
+	t.Helper()
+	is := is.New(t)
+	newest := uint64(0)
+	for _, c := range g.controllers {
+		is.NoErr(c.call(t.Context(), func(time.Time) { newest = max(newest, c.committed) }))
+	}
+	return newest
+}
--- a/controller/internal/consenter/events.go
+++ b/controller/internal/consenter/events.go
@@ -31,6 +31,11 @@
 }
 
 func (e proposeEvent) handle(c *Consenter, now time.Time) {
+	if verdict := c.state.AcceptedBefore(e.command.GetPlan()); verdict != nil && c.leads(now) {
+		// The whole change would be stored once more each time that it is sent.
+		e.reply <- answer{result: &wire.Result{Plan: verdict}}
+		return
+	}
 	e.command.At = now.UnixMilli()
 	data, err := proto.Marshal(e.command)
 	if err != nil {
--- a/core/keeper/plan.go
+++ b/core/keeper/plan.go
@@ -15,10 +15,10 @@
 // acknowledged again, however long ago it was accepted: its sender did not get the answer, and would take a refusal to
 // mean that the change was never in force.
 func (k *Keeper) changePlan(c *wire.PlanChange) *wire.PlanVerdict {
-	current := k.plan.GetVersion()
-	if k.digests[string(c.GetDigest())] {
-		return &wire.PlanVerdict{Outcome: wire.PlanOutcome_PLAN_ACCEPTED, Version: current}
+	if verdict := k.AcceptedBefore(c); verdict != nil {
+		return verdict
 	}
+	current := k.plan.GetVersion()
 	if c.GetVersion() <= current {
 		return &wire.PlanVerdict{
 			Outcome: wire.PlanOutcome_PLAN_INVALID, Version: current, Reason: "the version is not above the one in force",
@@ -38,6 +38,14 @@
 	return &wire.PlanVerdict{Outcome: wire.PlanOutcome_PLAN_ACCEPTED, Version: next.GetVersion()}
 }
 
+// AcceptedBefore returns the verdict on the resend of an accepted change, or nil for any other change.
+func (k *Keeper) AcceptedBefore(c *wire.PlanChange) *wire.PlanVerdict {
+	if c == nil || !k.digests[string(c.GetDigest())] {
+		return nil
+	}
+	return &wire.PlanVerdict{Outcome: wire.PlanOutcome_PLAN_ACCEPTED, Version: k.plan.GetVersion()}
+}
+
 func (k *Keeper) recordDigest(digest []byte) {
 	if k.digests == nil {
 		k.digests = map[string]bool{}
