--- a/standin/internal/soaker/schedule.go
+++ b/standin/internal/soaker/schedule.go
@@ -75,6 +75,14 @@
 	limitHold = 7 * time.Second
 )
 
+// The streams of random numbers of a seed.
+const (
+	faultStream = 1 + iota
+	statementStream
+	silenceStream
+	foreignStream
+)
+
 // fault is one entry of a schedule.
 type fault struct {
 	at   time.Duration
@@ -86,7 +94,7 @@
 
 // schedule generates the faults of a run from its seed. The same seed and length give the same faults.
 func schedule(seed uint64, length time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 1))
+	random := rand.New(rand.NewPCG(seed, faultStream))
 	var out []fault
 	lastLoss := -minLossInterval
 	for at := minGap; at < length; at += minGap + time.Duration(random.Int64N(int64(gapSpread))) {
@@ -106,14 +114,16 @@
 		out = append(out, f)
 	}
 	return slices.SortedStableFunc(slices.Values(slices.Concat(
-		out, scheduleStatements(seed, length), scheduleSilence(seed, length), scheduleForeign(seed, length))),
+		out, scheduleStatements(seed, length),
+		scheduleOne(seed, silenceStream, length, controlSilence, silenceGap, silenceSpread),
+		scheduleOne(seed, foreignStream, length, foreignHeartbeat, foreignGap, foreignSpread))),
 		func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 }
 
 // scheduleStatements generates the statements of targets, from random numbers of their own, so that the other faults of a
 // seed do not depend on them.
 func scheduleStatements(seed uint64, length time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 2))
+	random := rand.New(rand.NewPCG(seed, statementStream))
 	var out []fault
 	for at := statementGap; at < length; at += statementGap + time.Duration(random.Int64N(int64(statementSpread))) {
 		f := fault{
@@ -128,22 +138,13 @@
 	return out
 }
 
-// scheduleSilence generates the faults of the connections to controllers, from random numbers of their own.
-func scheduleSilence(seed uint64, length time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 3))
-	var out []fault
-	for at := silenceGap; at < length; at += silenceGap + time.Duration(random.Int64N(int64(silenceSpread))) {
-		out = append(out, fault{at: at, kind: controlSilence, index: random.IntN(1 << 16)})
-	}
-	return out
-}
-
-// scheduleForeign generates the heartbeats of other writers, from random numbers of their own.
-func scheduleForeign(seed uint64, length time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 4))
+// scheduleOne generates faults of one kind, from a stream of random numbers of its own, so that the other faults of a seed
+// do not depend on them.
+func scheduleOne(seed, stream uint64, length time.Duration, one kind, gap, spread time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, stream))
 	var out []fault
-	for at := foreignGap; at < length; at += foreignGap + time.Duration(random.Int64N(int64(foreignSpread))) {
-		out = append(out, fault{at: at, kind: foreignHeartbeat, index: random.IntN(1 << 16)})
+	for at := gap; at < length; at += gap + time.Duration(random.Int64N(int64(spread))) {
+		out = append(out, fault{at: at, kind: one, index: random.IntN(1 << 16)})
 	}
 	return out
 }
