Soak: callers that pipeline around stops, and checks of what they lose

Stops and reloads of entry instances and stops of controllers come in series of their own, so that the other faults of a seed stay what they are.

Checks: around a stop or a reload a request that was passed on, or that was read and not sent behind another one, gets its whole answer; answers belong to their requests; nothing behind a closing answer is passed on; an instance is gone 6 s after SIGTERM also with a caller that never reads, for which alone it may report cut requests; and it keeps no connection that it closed 4 s ago. The limit of a stop was 12 s, the patience of the instances 6 s where deploy/entry.ini has 5.5 s. The plan has a route of 5 s: slow readers take longer than two.

--- a/standin/internal/soaker/checker.go
+++ b/standin/internal/soaker/checker.go
@@ -76,7 +76,9 @@
 		w.nonRepeatable, w.notRun = map[string]bool{}, map[string]int{}
 	}
 	w.sent++
-	w.answers = append(w.answers, a)
+	kept := a
+	kept.Body = ""
+	w.answers = append(w.answers, kept)
 	if method == http.MethodPost {
 		w.nonRepeatable[a.ID] = true
 	}
@@ -95,7 +97,10 @@
 	}
 	w.complete++
 	if !strings.Contains(a.Body, " "+method+" "+path+" ") {
-		w.note("%s requested %s %s and received %q", a.ID, method, path, a.Body)
+		w.note("%s requested %s %s and received %.200q", a.ID, method, path, a.Body)
+	}
+	if !strings.HasSuffix(a.Signature, "."+a.ID) {
+		w.note("%s received the answer with the signature %q", a.ID, a.Signature)
 	}
 }
 
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
+	"os/exec"
 	"syscall"
 	"time"
 
@@ -15,8 +17,8 @@
 )
 
 const (
-	// stopTimeout is the maximum duration of a planned stop.
-	stopTimeout = 12 * time.Second
+	// stopTimeout is the time from SIGTERM within which a process has to be gone.
+	stopTimeout = 6 * time.Second
 	// restartDelay is the time between the kill and the restart of a process.
 	restartDelay = 300 * time.Millisecond
 	// linkDelayTime is how long a delayed connection holds each chunk of data.
@@ -118,7 +120,7 @@
 	switch f.kind {
 	case entryKill, entryStop, entryFreeze, entryReload:
 		s.injectEntryFault(f)
-	case controllerKill, controllerFreeze, controllerWipe:
+	case controllerStop, controllerKill, controllerFreeze, controllerWipe:
 		s.injectControllerFault(f)
 	case controllerKillAll:
 		s.killControllers(restartDelay)
@@ -151,23 +153,37 @@
 	defer s.disturb(i)
 	switch f.kind {
 	case entryKill:
+		s.unplanned.record(s.callerAddress(i))
 		p.Kill()
 		time.Sleep(restartDelay)
-		s.checkStarted(name, s.system.StartPlatformEntry(i))
+		s.checkStarted(name, s.startEntry(i))
 	case entryStop:
-		if err := p.Stop(stopTimeout); err != nil {
-			s.checker.fail("planned stop of %s failed: %v", name, err)
-		}
-		s.checkStarted(name, s.system.StartPlatformEntry(i))
+		s.stops.record(s.callerAddress(i))
+		s.stopEntry(i, p)
+		s.checkStarted(name, s.startEntry(i))
 	case entryFreeze:
+		s.unplanned.record(s.callerAddress(i))
+		defer s.unplanned.record(s.callerAddress(i))
 		s.freeze(p, f.duration)
 	default:
+		s.reloads.record(s.callerAddress(i))
 		if err := syscall.Kill(p.PID(), syscall.SIGHUP); err != nil {
 			s.checker.fail("%s exited unexpectedly: %v", name, err)
 		}
 	}
 }
 
+// stopEntry stops an entry instance as planned. Its exit status may tell that requests were cut if a caller did not read.
+func (s *Soak) stopEntry(i int, p *starter.Process) {
+	p.Terminate()
+	cut := s.sessions.addMute(s.callerAddress(i), 0) > 0
+	err := p.Wait(stopTimeout)
+	var exit *exec.ExitError
+	if err != nil && (!cut || !errors.As(err, &exit) || exit.ExitCode() != 1) {
+		s.checker.fail("planned stop of %s failed: %v", s.callerAddress(i), err)
+	}
+}
+
 // freeze suspends an entry instance for a duration. Its requests in flight may reach targets late.
 func (s *Soak) freeze(p *starter.Process, duration time.Duration) {
 	s.checker.recordFreeze()
@@ -240,10 +256,21 @@
 	s.controllerFaults.record(anyController)
 	defer s.controllerFaults.record(anyController)
 	p := s.system.Controllers[i]
+	address := s.system.PlatformAddress(i)
+	if f.kind == controllerStop {
+		s.stops.record(address)
+		if err := p.Stop(stopTimeout); err != nil {
+			s.checker.fail("planned stop of %s failed: %v", name, err)
+		}
+		s.checkStarted(name, s.system.StartPlatformController(i, false))
+		return
+	}
+	s.unplanned.record(address)
 	if f.kind == controllerFreeze {
 		p.Freeze()
 		time.Sleep(f.duration)
 		p.Thaw()
+		s.unplanned.record(address)
 		return
 	}
 	p.Kill()
@@ -265,8 +292,9 @@
 		if name := fmt.Sprintf("e%d", i); s.reserve(name) {
 			defer s.release(name)
 			s.disturb(i)
+			s.unplanned.record(s.callerAddress(i))
 			s.system.Entries[i].Kill()
-			defer func() { s.checkStarted(name, s.system.StartPlatformEntry(i)) }()
+			defer func() { s.checkStarted(name, s.startEntry(i)) }()
 		}
 	}
 	s.killControllers(changeLimit)
@@ -279,6 +307,7 @@
 	for i := range controllers {
 		if name := fmt.Sprintf("c%d", i); s.reserve(name) {
 			defer s.release(name)
+			s.unplanned.record(s.system.PlatformAddress(i))
 			s.system.Controllers[i].Kill()
 			defer func() { s.checkStarted(name, s.system.StartPlatformController(i, false)) }()
 		}
@@ -291,8 +320,7 @@
 	t := s.pickTarget(f.index, true)
 	s.checkStarted("target", s.startTarget())
 	if f.kind == targetKill {
-		t.Kill()
-		t.relay.Close()
+		s.killTarget(t)
 		return
 	}
 	leaveCtx, cancel := context.WithTimeout(ctx, recoveryTimeout)
@@ -302,6 +330,12 @@
 	}
 }
 
+func (s *Soak) killTarget(t *relayedTarget) {
+	s.targetKills.record(t.ID)
+	t.Kill()
+	t.relay.Close()
+}
+
 func (s *Soak) injectLinkFault(f fault) {
 	t := s.pickTarget(f.index, false)
 	if f.kind != linkDelay {
--- a/standin/internal/soaker/schedule.go
+++ b/standin/internal/soaker/schedule.go
@@ -17,6 +17,7 @@
 	entryStop         kind = "entry-stop"
 	entryFreeze       kind = "entry-freeze"
 	entryReload       kind = "entry-reload"
+	controllerStop    kind = "controller-stop"
 	controllerKill    kind = "controller-kill"
 	controllerFreeze  kind = "controller-freeze"
 	controllerWipe    kind = "controller-wipe"
@@ -71,6 +72,14 @@
 	// The same gap between two heartbeats of other writers.
 	foreignGap    = 500 * time.Millisecond
 	foreignSpread = 3 * time.Second
+	// The same gap between two planned stops, and between two reloads.
+	stopGap      = 800 * time.Millisecond
+	stopSpread   = 3 * time.Second
+	reloadGap    = 500 * time.Millisecond
+	reloadSpread = 5 * time.Second
+	// The same gap between two planned stops of controllers.
+	controllerStopGap    = 3 * time.Second
+	controllerStopSpread = 10 * time.Second
 	// limitHold is how long a limit holds beyond the duration of its fault: it counts only after some seconds.
 	limitHold = 7 * time.Second
 )
@@ -81,6 +90,9 @@
 	statementStream
 	silenceStream
 	foreignStream
+	stopStream
+	reloadStream
+	controllerStopStream
 )
 
 // fault is one entry of a schedule.
@@ -116,7 +128,10 @@
 	return slices.SortedStableFunc(slices.Values(slices.Concat(
 		out, scheduleStatements(seed, length),
 		scheduleOne(seed, silenceStream, length, controlSilence, silenceGap, silenceSpread),
-		scheduleOne(seed, foreignStream, length, foreignHeartbeat, foreignGap, foreignSpread))),
+		scheduleOne(seed, foreignStream, length, foreignHeartbeat, foreignGap, foreignSpread),
+		scheduleOne(seed, stopStream, length, entryStop, stopGap, stopSpread),
+		scheduleOne(seed, reloadStream, length, entryReload, reloadGap, reloadSpread),
+		scheduleOne(seed, controllerStopStream, length, controllerStop, controllerStopGap, controllerStopSpread))),
 		func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 }
 
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -53,6 +53,14 @@
 	reserved     map[string]bool
 	disturbances disturbances
 	linkFaults   disturbances
+	// stops, reloads and unplanned are the times of SIGTERM, of SIGHUP and of the other faults of entry instances and
+	// controllers, by their addresses for callers; targetKills are the times at which targets were killed.
+	stops       disturbances
+	reloads     disturbances
+	unplanned   disturbances
+	targetKills disturbances
+	sessions    sessions
+	entryPIDs   [entries]atomic.Int64
 	// controllerFaults are the times at which a fault of any controller began or ended, under the name anyController.
 	controllerFaults disturbances
 }
@@ -92,12 +100,20 @@
 	for i := range callers {
 		s.group.Go(func() { s.sendRequests(loadCtx, i) })
 	}
+	for i := range pipelines {
+		s.group.Go(func() { s.pipeline(loadCtx, i) })
+	}
+	for i := range lookUps {
+		s.group.Go(func() { s.lookUp(loadCtx, i) })
+	}
+	s.group.Go(func() { s.watchConnections(loadCtx) })
 	s.runSchedule(ctx)
 	s.awaitRecovery(ctx)
 	s.awaitTargets(ctx)
 	stopLoad()
 	s.group.Wait()
 	s.checkEnd(ctx)
+	s.checkExchanges(s.passages())
 	s.checkStatements(s.checker.answers)
 	for i := range s.system.Entries {
 		s.checkPlans(i)
@@ -110,6 +126,9 @@
 	if err := s.system.StartPlatformSystem(controllers, entries); err != nil {
 		return err
 	}
+	for i, p := range s.system.Entries {
+		s.entryPIDs[i].Store(int64(p.PID()))
+	}
 	for range targets {
 		if err := s.startTarget(); err != nil {
 			return err
--- a/standin/internal/soaker/statements.go
+++ b/standin/internal/soaker/statements.go
@@ -102,8 +102,7 @@
 		}
 		return
 	}
-	t.Kill()
-	t.relay.Close()
+	s.killTarget(t)
 }
 
 // checkStatements checks that entry instances did as targets asked in their answers.
--- a/standin/internal/starter/routed.go
+++ b/standin/internal/starter/routed.go
@@ -121,7 +121,7 @@
 
 [timing]
 answer = 2500ms
-patience = 6s
+patience = 5500ms
 `, name, place.Region, place.Zone, address, CallerPort, address, readyPort, address, PeerPort, address,
 		MetricsPort,
 		strings.Join(s.Seeds, ", "), ControlPort, EntryMemory))
@@ -148,11 +148,16 @@
 func (s *PlatformSystem) PlatformURLs() []string {
 	var out []string
 	for i := range s.Controllers {
-		out = append(out, fmt.Sprintf("http://%s:%d", s.address(controllerNet, i), PlatformPort))
+		out = append(out, "http://"+s.PlatformAddress(i))
 	}
 	return out
 }
 
+// PlatformAddress returns the address of controller i for the platform's calls.
+func (s *PlatformSystem) PlatformAddress(i int) string {
+	return fmt.Sprintf("%s:%d", s.address(controllerNet, i), PlatformPort)
+}
+
 // LogFile returns the path of a process's log file.
 func (s *PlatformSystem) LogFile(name string) string { return filepath.Join(s.Folder, name+".log") }
 
