--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -149,8 +149,10 @@
 	}
 	defer s.release(name)
 	p := s.system.Entries[i]
-	s.disturb(i)
-	defer s.disturb(i)
+	if f.kind != entryReload {
+		s.disturb(i)
+		defer s.disturb(i)
+	}
 	switch f.kind {
 	case entryKill:
 		s.unplanned.record(s.callerAddress(i))
--- a/standin/internal/soaker/schedule.go
+++ b/standin/internal/soaker/schedule.go
@@ -77,7 +77,9 @@
 	stopSpread   = 3 * time.Second
 	reloadGap    = 500 * time.Millisecond
 	reloadSpread = 5 * time.Second
-	// The same gap between two planned stops of controllers.
+	// The same gap between two planned stops of controllers. They excuse all instances that work by an older plan, so only
+	// one seed in controllerStopSeeds has them.
+	controllerStopSeeds  = 3
 	controllerStopGap    = 3 * time.Second
 	controllerStopSpread = 10 * time.Second
 	// limitHold is how long a limit holds beyond the duration of its fault: it counts only after some seconds.
@@ -125,13 +127,16 @@
 		}
 		out = append(out, f)
 	}
+	if seed%controllerStopSeeds == 0 {
+		out = append(out,
+			scheduleOne(seed, controllerStopStream, length, controllerStop, controllerStopGap, controllerStopSpread)...)
+	}
 	return slices.SortedStableFunc(slices.Values(slices.Concat(
 		out, scheduleStatements(seed, length),
 		scheduleOne(seed, silenceStream, length, controlSilence, silenceGap, silenceSpread),
 		scheduleOne(seed, foreignStream, length, foreignHeartbeat, foreignGap, foreignSpread),
 		scheduleOne(seed, stopStream, length, entryStop, stopGap, stopSpread),
-		scheduleOne(seed, reloadStream, length, entryReload, reloadGap, reloadSpread),
-		scheduleOne(seed, controllerStopStream, length, controllerStop, controllerStopGap, controllerStopSpread))),
+		scheduleOne(seed, reloadStream, length, entryReload, reloadGap, reloadSpread))),
 		func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 }
 
