--- a/standin/internal/starter/routed.go
+++ b/standin/internal/starter/routed.go
@@ -71,7 +71,7 @@
 heartbeat = 100ms
 replace = 2s
 lease = 4s
-patience = 4s
+grace = 6s
 `, place.Region, place.Zone, s.DataFolder(i), address, ControlPort, address, OperatorPort, address, PlatformPort,
 		strings.Join(s.Seeds, ", "), found, s.zones()))
 	if err != nil {
@@ -120,8 +120,7 @@
 limit = %d
 
 [timing]
-answer = 2500ms
-patience = 5500ms
+grace = 6s
 `, name, place.Region, place.Zone, address, CallerPort, address, readyPort, address, PeerPort, address,
 		MetricsPort,
 		strings.Join(s.Seeds, ", "), ControlPort, EntryMemory))
