--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -107,6 +107,7 @@
 		s.group.Go(func() { s.lookUp(loadCtx, i) })
 	}
 	s.group.Go(func() { s.watchConnections(loadCtx) })
+	s.group.Go(func() { s.watchDisk(loadCtx) })
 	s.runSchedule(ctx)
 	s.awaitRecovery(ctx)
 	s.awaitTargets(ctx)
