Soak: a fault lasts from its begin to its end

Lags of plans were excused near the begin and near the end of a fault. An instance that was told to stop is no longer in touch.

--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -61,7 +61,7 @@
 	targetKills disturbances
 	sessions    sessions
 	entryPIDs   [entries]atomic.Int64
-	// controllerFaults are the times at which a fault of any controller began or ended, under the name anyController.
+	// controllerFaults are the times of the faults of all controllers, under the name anyController.
 	controllerFaults disturbances
 }
 
