--- a/standin/internal/soaker/pipelines.go
+++ b/standin/internal/soaker/pipelines.go
@@ -140,7 +140,7 @@
 // watchConnections checks until ctx is done that instances do not keep connections that they have closed.
 func (s *Soak) watchConnections(ctx context.Context) {
 	for ; ctx.Err() == nil; time.Sleep(watchInterval) {
-		for i := range s.system.Entries {
+		for i := range entries {
 			s.checkClosed(i)
 		}
 	}
