--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -28,6 +28,9 @@
 // anyController is the name under which faults of controllers are recorded.
 const anyController = "controller"
 
+// anyTarget is the name under which the faults of all targets' links are recorded besides.
+const anyTarget = "target"
+
 // relayedTarget is a target whose connections go through a relay.
 type relayedTarget struct {
 	*speaker.Target
@@ -337,6 +340,7 @@
 	t := s.pickTarget(f.index, false)
 	if f.kind != linkDelay {
 		s.linkFaults.record(t.ID)
+		s.linkFaults.record(anyTarget)
 	}
 	switch f.kind {
 	case linkReset:
--- a/standin/internal/soaker/losses.go
+++ b/standin/internal/soaker/losses.go
@@ -120,6 +120,10 @@
 		s.unplanned.between(e.Instance, e.SentAt.Add(-contactTime), e.EndedAt) {
 		return true
 	}
+	// A request that was sent over a silent link has reached no target.
+	if len(passed) == 0 && s.linkFaults.between(anyTarget, e.SentAt.Add(-lossTime), e.EndedAt) {
+		return true
+	}
 	for _, p := range passed {
 		from := p.at.Add(-lossTime)
 		if s.linkFaults.between(p.target, from, e.EndedAt) || s.targetKills.between(p.target, from, e.EndedAt) {
