--- a/standin/internal/starter/routed.go
+++ b/standin/internal/starter/routed.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	s.Controllers = setOrAppend(s.Controllers, i, p)
+	set(&s.Controllers, i, p)
 	return nil
 }
 
@@ -131,16 +131,17 @@
 	if err != nil {
 		return err
 	}
-	s.Entries = setOrAppend(s.Entries, i, p)
+	set(&s.Entries, i, p)
 	return nil
 }
 
-func setOrAppend(list []*Process, i int, p *Process) []*Process {
-	if i < len(list) {
-		list[i] = p
-		return list
+// set sets an element of a list, or appends it. The list itself is written only then, as restarts overlap.
+func set(list *[]*Process, i int, p *Process) {
+	if i < len(*list) {
+		(*list)[i] = p
+		return
 	}
-	return append(list, p)
+	*list = append(*list, p)
 }
 
 // PlatformURLs returns the base URLs of all controllers for the platform's calls.
