--- a/core/closer/closer_test.go
+++ b/core/closer/closer_test.go
@@ -5,13 +5,13 @@
 	"errors"
 	"io"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
+
+	"chervilrail.example/core/pipeliner"
 )
 
 const (
@@ -35,16 +35,9 @@
 func connect(t *testing.T, s *Socket) (local *Conn, remote *net.TCPConn) {
 	t.Helper()
 	is := is.New(t)
-	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
-		var failure error
-		err := c.Control(func(fd uintptr) {
-			failure = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-		})
-		return errors.Join(err, failure)
-	}}
-	raw, err := dialer.Dial("tcp", s.Addr().String())
+	c, err := (&pipeliner.Pipeliner{ReceiveBuffer: receiveBuffer}).Dial(t.Context(), s.Addr().String())
 	is.NoErr(err)
-	remote, ok := raw.(*net.TCPConn)
+	remote, ok := c.Conn.(*net.TCPConn)
 	is.True(ok)
 	t.Cleanup(func() { _ = remote.Close() })
 	accepted, err := s.Accept()
