Trials begin once all entry instances have the first plan

A fleet was taken for started once one instance had served a request; callers are sent to all of them, and one whose controller had no leader a moment ago calls again up to 0.4 s later, and keeps a request for 0.3 s at most. That is what an instance without a plan has to do, and not what these tests are about: their checks stay as they are, and the load begins when every instance says that it is ready.

--- a/standin/internal/trials/platform_test.go
+++ b/standin/internal/trials/platform_test.go
@@ -55,6 +55,14 @@
 	until(t, "the first plan is in force", func() bool {
 		return f.operator.Put(context.Background(), speaker.Plan(1, 0, service)) == http.StatusOK
 	})
+	until(t, "all entry instances have the plan", func() bool {
+		for i := range f.Entries {
+			if !speaker.Ready(context.Background(), f.ReadyAddress(i)) {
+				return false
+			}
+		}
+		return true
+	})
 	until(t, "a request is served", func() bool {
 		return f.client(0).Send(context.Background(), http.MethodGet, "/safe/1", "k", "").Complete
 	})
