A drained connection is closed 2 s after everything was delivered

Callers that hold a connection which an instance has closed kept its descriptor for up to 4 s after the last byte had reached them: whether the other end had received more was looked at every 2 s only, and each time it had, another 2 s began.

TestCloseWaitsNoLongerOnceAllIsDelivered failed before: more than 2.75 s passed between the delivery and the close.

--- a/core/closer/closer.go
+++ b/core/closer/closer.go
@@ -4,9 +4,7 @@
 import (
 	"container/list"
 	"context"
-	"errors"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -18,20 +16,11 @@
 )
 
 const (
-	// Timeout is how long the other end may take to close its side, or to receive more of what was written, and maxTime how
-	// long it may take in all.
-	Timeout = 2 * time.Second
-	maxTime = 5 * Timeout
 	// headTime is how long a planned stop waits for the rest of a request's head.
 	headTime = 100 * time.Millisecond
-	// maxDiscarded is how many bytes are read after the close of a connection: the largest body of a request.
-	maxDiscarded = 16 << 20
 	// maxDraining limits the connections that are drained at the same time while the process serves. They take
 	// descriptors, and callers that never close would take them all.
 	maxDraining = 1024
-	// drainBuffer and maxDrainBuffer are sizes in bytes. Most connections need the first one only, for their end.
-	drainBuffer    = 512
-	maxDrainBuffer = 32 << 10
 	// stopMargin is the part of the time for a planned stop that is left for the end of the process.
 	stopMargin = 50 * time.Millisecond
 	// pollInterval is how often Stop looks whether all connections are closed.
@@ -173,10 +162,11 @@
 	return c.draining.Front()
 }
 
-// drain closes the socket of a connection once the other end has closed its side, or after Timeout.
+// drain closes the socket of a connection once the other end has closed its side, or when a drainer gives up.
 func (c *Closer) drain(element *list.Element, e closing) {
 	d := element.Value.(*draining) //nolint:errcheck,forcetypeassert // the list holds nothing else
-	e.end = d.conn.drain(e.begun)
+	<-d.conn.readEnds
+	e.end = (&drainer{conn: d.conn.TCPConn}).drain(e.begun)
 	c.mu.Lock()
 	if d.reason != "" {
 		e.end = d.reason
@@ -199,5 +189,3 @@
 	_ = level.Info(c.Logger).Log("msg", "connection closed", "service", e.service, "remote", e.remote, "end", e.end,
 		"unread", e.unread, "undelivered", e.undelivered, "took", time.Since(e.begun))
 }
-
-func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/core/closer/concurrency_test.go
+++ b/core/closer/concurrency_test.go
@@ -74,6 +74,26 @@
 	readAll(t, remote, 0)
 }
 
+// Guards against a connection that is kept for much longer than its time after everything was delivered on it: its
+// caller holds it, and descriptors of the process with it.
+func TestCloseWaitsNoLongerOnceAllIsDelivered(t *testing.T) {
+	is := is.New(t)
+	s := listen(t)
+	closed := make(chan bool)
+	s.OnClose = func() { close(closed) }
+	local, remote := connect(t, s)
+	write(t, local, answer)
+	is.NoErr(local.Close())
+	read(t, remote, answer/2)
+	time.Sleep(Timeout * 3 / 4)
+	read(t, remote, answer/4)
+	time.Sleep(Timeout / 2)
+	readAll(t, remote, answer/4)
+	delivered := time.Now()
+	<-closed
+	is.True(time.Since(delivered) < Timeout+3*progressInterval)
+}
+
 // read reads so many bytes.
 func read(t *testing.T, c net.Conn, size int) {
 	t.Helper()
--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -1,8 +1,6 @@
 package closer
 
 import (
-	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -194,44 +192,3 @@
 	out.undelivered, _ = prober.Unacknowledged(c.TCPConn)
 	return out
 }
-
-// drain reads and discards until the other end closes, and returns how that ended. It gives up after Timeout in which
-// nothing more was delivered, after maxTime, and after maxDiscarded bytes.
-func (c *Conn) drain(begun time.Time) end {
-	<-c.readEnds
-	discarded := 0
-	left, _ := prober.Unacknowledged(c.TCPConn)
-	for deadline := begun.Add(Timeout); ; deadline = deadline.Add(Timeout) {
-		_ = c.TCPConn.SetReadDeadline(deadline)
-		if reason := c.discard(&discarded); reason != timedOut {
-			return reason
-		}
-		now, _ := prober.Unacknowledged(c.TCPConn)
-		if now >= left || deadline.Sub(begun) >= maxTime {
-			return timedOut
-		}
-		left = now
-	}
-}
-
-// discard reads until the other end closes, or until the read deadline.
-func (c *Conn) discard(sum *int) end {
-	buffer := make([]byte, drainBuffer)
-	for {
-		n, err := c.TCPConn.Read(buffer)
-		*sum += n
-		switch {
-		case errors.Is(err, io.EOF):
-			return remoteAfter
-		case err != nil && isTimeout(err):
-			return timedOut
-		case err != nil:
-			return reset
-		case *sum > maxDiscarded:
-			return excess
-		}
-		if n == len(buffer) && n < maxDrainBuffer {
-			buffer = make([]byte, maxDrainBuffer)
-		}
-	}
-}
