A stop answers the requests that had arrived behind the one that it handles

Requests sent later were read and discarded after the close, though callers may repeat only what was not read.

What was decided before, that requests behind a closing answer count as not read, holds for those that were not read only.

That decision stands in one place, for all our listeners, in place of a header in carrier and forwarder. Later requests are left unread: where only requests can follow, a drained connection waits for the other end's close without reading (prober.AwaitEnd).

Two other ways were weighed. Closing with the next answer loses what was read. Answering whatever arrives until the patience ends never lets a caller go that sends all the time, and cuts it at the end.

Not changed: connections with TLS, whose bytes can't be seen here; their next answer closes them, and what was sent behind it is lost.

--- a/core/closer/closer.go
+++ b/core/closer/closer.go
@@ -48,6 +48,8 @@
 	// unread is how many bytes have arrived and were not read, undelivered how many were written and not acknowledged.
 	unread      int
 	undelivered int
+	// skip is set if only further requests can be unread, or arrive.
+	skip bool
 	// end is why the socket was closed.
 	end end
 }
@@ -166,7 +168,7 @@
 func (c *Closer) drain(element *list.Element, e closing) {
 	d := element.Value.(*draining) //nolint:errcheck,forcetypeassert // the list holds nothing else
 	<-d.conn.readEnds
-	e.end = (&drainer{conn: d.conn.TCPConn}).drain(e.begun)
+	e.end = (&drainer{conn: d.conn.TCPConn, skip: e.skip}).drain(e.begun)
 	c.mu.Lock()
 	if d.reason != "" {
 		e.end = d.reason
--- a/core/closer/concurrency_test.go
+++ b/core/closer/concurrency_test.go
@@ -94,6 +94,29 @@
 	is.True(time.Since(delivered) < Timeout+3*progressInterval)
 }
 
+// Guards against requests behind the last answer that are read and dropped: callers repeat those that were not read.
+func TestRequestsBehindTheLastAnswerAreNotRead(t *testing.T) {
+	for name, hasBody := range map[string]bool{"request without body": false, "request with body": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			local, remote := connect(t, listen(t))
+			is.True(local.BeginRequest())
+			write(t, local, answer)
+			local.EndRequest(hasBody)
+			is.NoErr(local.Close())
+			write(t, remote, 100)
+			readAll(t, remote, answer)
+			time.Sleep(settleTime)
+			unread, open := prober.Unread(local.TCPConn)
+			is.True(open)
+			is.Equal(unread == 0, hasBody) // the rest of a body is discarded
+			is.NoErr(remote.CloseWrite())
+			time.Sleep(settleTime)
+			is.Equal(local.socket.Closer.count(), 0)
+		})
+	}
+}
+
 // read reads so many bytes.
 func read(t *testing.T, c net.Conn, size int) {
 	t.Helper()
--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -35,6 +35,9 @@
 	readEnds chan struct{}
 	// opening holds the first bytes that were read, up to the length of http2Opening.
 	opening []byte
+	// skippable is set once a request without a body was handled: whatever follows it is further requests.
+	skippable bool
+	arrivals
 }
 
 // http2Opening is what a connection of HTTP/2 without TLS begins with.
@@ -47,6 +50,10 @@
 		c.mu.Unlock()
 		return 0, net.ErrClosed
 	}
+	if len(c.ahead) > 0 {
+		defer c.mu.Unlock()
+		return c.take(b), nil
+	}
 	c.reading = true
 	c.mu.Unlock()
 	n, err := c.TCPConn.Read(b)
@@ -69,7 +76,10 @@
 	if missing := len(http2Opening) - len(c.opening); missing > 0 {
 		c.opening = append(c.opening, b[:min(n, missing)]...)
 	}
-	return n, err
+	if c.multiplexed() {
+		return n, err
+	}
+	return c.split(b[:n]), err
 }
 
 // Write implements net.Conn.
@@ -98,6 +108,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = idle
+	c.skippable = c.skippable && idle
 	c.quietAt = time.Time{}
 }
 
@@ -106,15 +117,35 @@
 func (c *Conn) BeginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = !c.closed
+	c.serving, c.skippable = !c.closed, false
 	return c.serving
 }
 
-// EndRequest ends what BeginRequest began.
-func (c *Conn) EndRequest() {
+// EndRequest ends what BeginRequest began. HasBody tells whether the request had a body.
+func (c *Conn) EndRequest(hasBody bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
+	c.skippable = !hasBody
+}
+
+// Last reports whether the answer to the request that is handled has to be the last one on the connection, as the process
+// leaves: no other request had begun to arrive when it began to leave, and none was read since.
+func (c *Conn) Last() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving && (c.multiplexed() || !c.awaited())
+}
+
+// leave tells that the process leaves: requests that have begun to arrive are answered, later ones are not.
+func (c *Conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return
+	}
+	waiting, _ := prober.Unread(c.TCPConn)
+	c.leaving, c.due = true, c.received+int64(waiting)
 }
 
 // Close implements net.Conn. It returns at once. It has no effect while an HTTP/1 request is handled, or waits to be read
@@ -166,7 +197,7 @@
 	if c.multiplexed() || c.socket.cutting.Load() {
 		return false
 	}
-	if c.serving {
+	if c.serving || c.idle && len(c.ahead) > 0 {
 		return true
 	}
 	waiting, _ := prober.Unread(c.TCPConn)
@@ -184,11 +215,12 @@
 
 // state returns what is unread and undelivered at this moment.
 func (c *Conn) state() closing {
-	out := closing{service: c.socket.Service, remote: c.RemoteAddr(), begun: time.Now(), end: idle}
+	out := closing{service: c.socket.Service, remote: c.RemoteAddr(), begun: time.Now(), skip: c.skippable, end: idle}
 	if c.ended {
 		out.end = remoteFirst
 	}
 	out.unread, _ = prober.Unread(c.TCPConn)
+	out.unread += len(c.ahead)
 	out.undelivered, _ = prober.Unacknowledged(c.TCPConn)
 	return out
 }
--- a/core/closer/drainer.go
+++ b/core/closer/drainer.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"chervilrail.example/core/prober"
 )
 
@@ -26,7 +28,10 @@
 
 // drainer waits until the other end of a connection closes.
 type drainer struct {
-	conn      *net.TCPConn
+	conn *net.TCPConn
+	// skip is set if only further requests can arrive. They stay unread: callers may repeat what was not read.
+	skip bool
+
 	discarded int
 }
 
@@ -37,7 +42,7 @@
 	progressAt := begun
 	for {
 		_ = d.conn.SetReadDeadline(time.Now().Add(progressInterval))
-		if reason := d.discard(); reason != timedOut {
+		if reason := d.await(); reason != timedOut {
 			return reason
 		}
 		now := time.Now()
@@ -50,6 +55,24 @@
 	}
 }
 
+// await waits until the other end closes, or until the read deadline.
+func (d *drainer) await() end {
+	if !d.skip {
+		return d.discard()
+	}
+	err := prober.AwaitEnd(d.conn)
+	switch {
+	case err == nil:
+		return remoteAfter
+	case isTimeout(err):
+		return timedOut
+	case errors.Is(err, unix.ECONNRESET), errors.Is(err, net.ErrClosed):
+		return reset
+	}
+	d.skip = false // the system does not tell
+	return d.discard()
+}
+
 // discard reads until the other end closes, or until the read deadline.
 func (d *drainer) discard() end {
 	buffer := make([]byte, drainBuffer)
--- a/core/closer/socket.go
+++ b/core/closer/socket.go
@@ -17,6 +17,8 @@
 	// OnClose is called when a connection's descriptor has been closed; it may be nil.
 	OnClose func()
 
+	// leaving is set once the process leaves.
+	leaving atomic.Bool
 	// cutting is set once requests in progress no longer keep connections open.
 	cutting atomic.Bool
 	once    sync.Once
@@ -37,6 +39,7 @@
 	c := &Conn{TCPConn: socket, socket: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.leaving = s.leaving.Load()
 	if s.conns == nil {
 		s.conns = map[*Conn]bool{}
 	}
@@ -51,6 +54,14 @@
 	return err
 }
 
+// Leave tells all connections, and those that are accepted later, that the process leaves: see Conn.Last.
+func (s *Socket) Leave() {
+	s.leaving.Store(true)
+	for _, c := range s.open() {
+		c.leave()
+	}
+}
+
 // CloseIdle closes the idle connections on which nothing has arrived; those on which no request has begun only if unused
 // is set. It returns how many of the others are in use, but for those of TLS and HTTP/2, which the server has to close.
 func (s *Socket) CloseIdle(unused bool) int {
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,8 @@
 	accepted atomic.Int64
 	// stopping is set by Stop.
 	stopping atomic.Bool
+	// leave guards against leaving twice.
+	leave sync.Once
 }
 
 // Name implements kernel.Service; it returns ServiceName.
@@ -110,13 +113,19 @@
 // handle serves a request unless its connection has been closed since it was read.
 func (l *Listener) handle(w http.ResponseWriter, r *http.Request) {
 	c, ok := connection(r.Context()).(*closer.Conn)
-	if ok && r.ProtoMajor == 1 {
+	if !ok {
+		l.Handler.ServeHTTP(w, r)
+		return
+	}
+	if r.ProtoMajor == 1 {
 		if !c.BeginRequest() {
 			panic(http.ErrAbortHandler)
 		}
-		defer c.EndRequest()
+		defer c.EndRequest(r.ContentLength != 0)
 	}
-	l.Handler.ServeHTTP(w, r)
+	a := &answer{ResponseWriter: w, conn: c}
+	l.Handler.ServeHTTP(a, r)
+	a.begin()
 }
 
 func (l *Listener) serve(socket net.Listener) {
@@ -179,6 +188,15 @@
 	return c != nil && prober.Closed(c)
 }
 
+// Leave asks callers to leave while requests are still served: each further answer closes its connection, unless more
+// requests had arrived on it before. It may be called before Stop, and only after Start.
+func (l *Listener) Leave() {
+	l.leave.Do(func() {
+		l.Closer.Leave()
+		l.socket.Leave()
+	})
+}
+
 // pollInterval is how often a planned stop looks whether all requests have ended.
 const pollInterval = 5 * time.Millisecond
 
@@ -200,10 +218,9 @@
 		defer cancel()
 		limited = earlier
 	}
-	l.Closer.Leave()
+	l.Leave()
 	l.stopping.Store(true)
 	_ = l.socket.Close()
-	l.server.SetKeepAlivesEnabled(false) // each further answer closes its connection
 	// Once the server shuts down, it reads requests and drops them.
 	err := l.awaitRequests(limited)
 	if err == nil {
--- a/core/prober/prober.go
+++ b/core/prober/prober.go
@@ -38,6 +38,44 @@
 	return count == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
 }
 
+// AwaitEnd waits until the other end has closed its side of a connection, whatever has arrived before that and was not
+// read. It returns unix.ECONNRESET if the other end has reset the connection, and an error if the read deadline passes
+// first, if the connection is closed, or if the system does not tell.
+func AwaitEnd(c net.Conn) error {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return unix.ENOTSOCK
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var ended bool
+	var failure error
+	err = raw.Read(func(fd uintptr) bool {
+		ended, failure = hasEnded(int(fd))
+		return ended || failure != nil
+	})
+	return errors.Join(err, failure)
+}
+
+// hasEnded reports whether the other end has closed its side of a connection.
+func hasEnded(fd int) (bool, error) {
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(poll, 0)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			return false, err
+		case poll[0].Revents&unix.POLLERR != 0:
+			return false, unix.ECONNRESET
+		}
+		return poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP) != 0, nil
+	}
+}
+
 // peek reads the next byte without consuming or waiting for it. Errors of the system call are returned unwrapped, as
 // syscall.Errno.
 func peek(c net.Conn) (int, error) {
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -147,9 +147,6 @@
 	return nil
 }
 
-// CloseConnections makes every further answer close its caller's connection, while requests are still served.
-func (c *Carrier) CloseConnections() { c.stopping.Store(true) }
-
 func (c *Carrier) maintain(ctx context.Context) {
 	defer close(c.done)
 	ticker := time.NewTicker(tickInterval)
@@ -282,9 +279,6 @@
 	if j.body != nil {
 		defer j.body.Release()
 	}
-	if c.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c.recordResult(j, out)
 	c.writeResult(w, j, out)
 }
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -158,6 +158,7 @@
 	k := &kernel.Kernel{Logger: p.logger, StopTimeout: p.settings.StopTimeout, Fatal: make(chan error, 1)}
 	operator := http.NewServeMux()
 	reporter.Mount(operator, p.registry, k)
+	caller := p.newListener("caller", p.callerHandler())
 	k.Services = []kernel.Service{
 		p.closer,
 		&reloader.Reloader{Load: p.reload, Logger: p.logger},
@@ -168,10 +169,11 @@
 		p.newListener("operator", operator),
 		p.forwarder,
 		p.newListener("target", p.targetHandler()),
-		p.newListener("caller", p.callerHandler()),
+		caller,
 		&drainer{
 			directory:         p.directory,
 			forwarder:         p.forwarder,
+			caller:            caller,
 			answerMaxAge:      p.settings.AnswerMaxAge,
 			heartbeatInterval: p.settings.RenewInterval,
 			logger:            p.logger,
--- a/entry/internal/cli/drainer.go
+++ b/entry/internal/cli/drainer.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/listener"
 	"chervilrail.example/entry/internal/directory"
 	"chervilrail.example/entry/internal/forwarder"
 )
@@ -20,6 +21,7 @@
 type drainer struct {
 	directory *directory.Directory
 	forwarder *forwarder.Forwarder
+	caller    *listener.Listener
 	// answerMaxAge is how long callers keep answers that name this instance.
 	answerMaxAge      time.Duration
 	heartbeatInterval time.Duration
@@ -45,6 +47,7 @@
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
+	d.caller.Leave()
 	d.forwarder.RefuseNew()
 	_ = level.Info(d.logger).Log("msg", "refusing new requests", "running", d.forwarder.Running())
 	return nil
--- a/entry/internal/cli/leaver.go
+++ b/entry/internal/cli/leaver.go
@@ -8,8 +8,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"chervilrail.example/core/closer"
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/listener"
 	"chervilrail.example/entry/internal/carrier"
 	"chervilrail.example/entry/internal/watcher"
 )
@@ -19,8 +19,7 @@
 // requests that are just being sent.
 type leaver struct {
 	watcher *watcher.Watcher
-	carrier *carrier.Carrier
-	closer  *closer.Closer
+	caller  *listener.Listener
 	// serveTime is how long requests are still served after the instance has reported that it leaves.
 	serveTime time.Duration
 	logger    log.Logger
@@ -45,8 +44,7 @@
 // elsewhere. It returns after serveTime, or when ctx ends.
 func (l *leaver) Stop(ctx context.Context) error {
 	l.leaving.Store(true)
-	l.closer.Leave()
-	l.carrier.CloseConnections()
+	l.caller.Leave()
 	l.watcher.Leave()
 	_ = level.Info(l.logger).Log("msg", "leaving", "serve", l.serveTime)
 	select {
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -57,6 +57,7 @@
 	carrier  *carrier.Carrier
 	locator  *locator.Locator
 	enforcer *enforcer.Enforcer
+	caller   *listener.Listener
 	leaver   *leaver
 	closer   *closer.Closer
 }
@@ -94,7 +95,8 @@
 	p.watcher.OnView, p.watcher.OnHosts, p.watcher.OnLoads = p.applyView, p.carrier.UpdateHosts, p.carrier.UpdateLoads
 	p.watcher.OnBackoffs = p.carrier.UpdateBackoffs
 	p.closer = &closer.Closer{Logger: p.logger, Metrics: closer.NewMetrics(p.registry)}
-	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, closer: p.closer, serveTime: settings.AnswerMaxAge, logger: p.logger}
+	p.caller = p.newListener("caller", settings.Caller, p.carrier)
+	p.leaver = &leaver{watcher: p.watcher, caller: p.caller, serveTime: settings.AnswerMaxAge, logger: p.logger}
 	return p
 }
 
@@ -144,7 +146,7 @@
 		p.enforcer,
 		p.watcher,
 		p.newListener("operator", s.Operator, operator),
-		p.newListener("caller", s.Caller, p.carrier),
+		p.caller,
 		p.newListener("ready", s.Ready, translator.Ready{Check: p.ready}),
 		p.leaver,
 	}
--- a/entry/internal/forwarder/job.go
+++ b/entry/internal/forwarder/job.go
@@ -59,7 +59,6 @@
 func (f *Forwarder) prepare(w http.ResponseWriter, r *http.Request, now time.Time) (*job, *refuser.Refusal) {
 	j := &job{request: r, view: f.Views.View(), ctx: r.Context()}
 	if f.stopping.Load() {
-		w.Header().Set("Connection", "close")
 		return j, refuse(http.StatusServiceUnavailable, "stopping", "this instance is stopping", now.Add(time.Second))
 	}
 	// An unconfirmed catalogue may have been replaced. Using it would break the guarantee that an accepted change is in
