--- a/core/listener/delay_test.go
+++ b/core/listener/delay_test.go
@@ -45,3 +45,11 @@
 	}()
 	assertStopsSoon(t, l)
 }
+
+// Guards against a connection over TLS on which nothing was sent and which takes a planned stop all its time.
+func TestUnusedConnectionOverTLSDoesNotDelayStop(t *testing.T) {
+	keys := writeKeys(t)
+	l, _, _ := startHeld(t, func(l *Listener) { l.Keys = keys })
+	dialUnfinished(t, l, "")
+	assertStopsSoon(t, l)
+}
