Test of an unfinished opening of HTTP/2 that takes a planned stop all its time (fails on the present code)

A connection that begins with "PRI " is left to the server, also if it never becomes one of HTTP/2: Shutdown takes it for busy until it is 5 s old.

Run on: fails after 2.05 s, "listener test cut requests on 1 connections: context deadline exceeded".

--- a/core/listener/delay_test.go
+++ b/core/listener/delay_test.go
@@ -53,3 +53,10 @@
 	dialUnfinished(t, l, "")
 	assertStopsSoon(t, l)
 }
+
+// Guards against a caller that begins HTTP/2, sends no more, and so takes a planned stop all its time.
+func TestUnfinishedHTTP2OpeningDoesNotDelayStop(t *testing.T) {
+	l := start(t, writeLarge)
+	dialUnfinished(t, l, "PRI * HTTP/2.0\r\n")
+	assertStopsSoon(t, l)
+}
