Test of an undelivered answer at the end of a stop with a request unread (fails on the present code)

Since requests behind the last answer stay unread. When the time of the stop ends first, the socket is closed with them unread: the kernel resets the connection and discards what it has not delivered. Before, they had been read, so that the close was orderly and the kernel delivered the rest after the end of the process, unless the caller sent even more. The same holds for a close after 2 s without progress or 10 s in all.

--- a/core/closer/behind_test.go
+++ b/core/closer/behind_test.go
@@ -1,8 +1,10 @@
 package closer
 
 import (
+	"context"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -43,3 +45,21 @@
 	is.Equal(s.CloseIdle(true), 1)
 	is.True(local.BeginRequest())
 }
+
+// Guards against an answer that the end of a planned stop discards because a later request is unread, though the kernel
+// would have delivered it: its caller sends nothing more.
+func TestStopLeavesTheKernelToDeliverAnswers(t *testing.T) {
+	is := is.New(t)
+	s := listen(t)
+	local, remote := connect(t, s)
+	is.True(local.BeginRequest())
+	write(t, local, answer)
+	local.EndRequest(false)
+	is.NoErr(local.Close())
+	write(t, remote, 100)
+	ctx, cancel := context.WithTimeout(t.Context(), Timeout/4)
+	defer cancel()
+	is.NoErr(s.Closer.Stop(ctx))
+	time.Sleep(settleTime)
+	readAll(t, remote, answer)
+}
