--- a/core/listener/delay_test.go
+++ b/core/listener/delay_test.go
@@ -1,8 +1,10 @@
 package listener
 
 import (
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -34,16 +36,44 @@
 	is.True(time.Since(started) < patience/2)
 }
 
+// sendSlowly sends a byte at a time until the connection ends.
+func sendSlowly(c net.Conn) {
+	for err := error(nil); err == nil; time.Sleep(unusedGrace / 5) {
+		_, err = io.WriteString(c, "x")
+	}
+}
+
 // Guards against a caller that sends the head of a request byte by byte and so takes a planned stop all its time.
 func TestSlowHeadDoesNotDelayStop(t *testing.T) {
 	l := start(t, writeLarge)
 	c := dialUnfinished(t, l, beginPart)
+	go sendSlowly(c)
+	assertStopsSoon(t, l)
+}
+
+// Guards against a caller that sends the head of a request byte by byte on one listener, such as that for readiness, while
+// the next accepts requests until the time of a planned stop is over and then cuts them.
+func TestSlowHeadDoesNotCutRequestsOfOtherListeners(t *testing.T) {
+	is := is.New(t)
+	first := start(t, writeLarge)
+	go sendSlowly(dialUnfinished(t, first, beginPart))
+	second := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(patience / 4)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	stopped := make(chan error, 1)
 	go func() {
-		for err := error(nil); err == nil; time.Sleep(unusedGrace / 5) {
-			_, err = io.WriteString(c, "x")
-		}
+		_ = first.Stop(ctx)
+		stopped <- second.Stop(ctx)
 	}()
-	assertStopsSoon(t, l)
+	time.Sleep(patience * 7 / 8)
+	if c, err := net.Dial("tcp", second.Address.String()); err == nil { // refused is right, too
+		is.Equal(exchange(c), http.StatusNoContent)
+		_ = c.Close()
+	}
+	is.NoErr(<-stopped)
 }
 
 // Guards against a connection over TLS on which nothing was sent and which takes a planned stop all its time.
