Soak: requests that had arrived before a planned stop are answered

The soak let pass requests behind an answer that closes the connection, whenever they were sent. Those that were sent half a second and more before the stop began have to be answered now. TestLossesAreSeen asks for it; the case "unread" of TestExcusedLossesAreNoViolations, which allowed it, is in its place allowed only for requests sent after the stop began.

--- a/standin/internal/soaker/disturbances.go
+++ b/standin/internal/soaker/disturbances.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -47,3 +48,10 @@
 	}
 	return false
 }
+
+// began reports whether a disturbance began between two times.
+func (d *disturbances) began(name string, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.spans[name], func(s *span) bool { return !s.from.Before(from) && !s.from.After(to) })
+}
--- a/standin/internal/soaker/losses.go
+++ b/standin/internal/soaker/losses.go
@@ -20,6 +20,8 @@
 	contactTime = 3 * time.Second
 	// lossSlack is how long after its last byte was sent a request that is not passed on may lose its connection.
 	lossSlack = 200 * time.Millisecond
+	// arrivalTime is longer than a request takes to its instance, and the instance to notice that it has to stop.
+	arrivalTime = 500 * time.Millisecond
 	// maxLosses is how many requests may be passed on and lost in a run beside no planned work.
 	maxLosses = 3
 	fileMode  = 0o640
@@ -66,8 +68,9 @@
 		passed := passages[e.ID]
 		if e.Unread && len(passed) > 0 {
 			s.checker.fail("%s was passed on though it was sent behind an answer that closes the connection", e.ID)
+			continue
 		}
-		if e.Unread || e.Left || !s.lost(e, passed) || s.excused(e, passed) {
+		if e.Left || !s.lost(e, passed) || s.excused(e, passed) {
 			continue
 		}
 		line := describeLoss(e, passed)
@@ -97,14 +100,17 @@
 	s.checker.fail("%d requests lost around %s, the first: %s", len(lost), around, lost[0])
 }
 
-// lost reports whether a request has no whole answer though it was passed on or, not sent behind another one, was read; or
-// whether its run was broken off by an answer of the instance's own.
+// lost reports whether a request has no whole answer though it was passed on or, not sent behind another one, was read; whether
+// its run was broken off by an answer of the instance's own; or whether a planned stop that began after it had arrived closed
+// its connection with the answer to an earlier one.
 func (s *Soak) lost(e *speaker.Exchange, passed []passage) bool {
 	ran := false
 	for _, p := range passed {
 		ran = ran || p.run
 	}
 	switch {
+	case e.Unread:
+		return s.stops.began(e.Instance, e.SentAt.Add(arrivalTime), e.EndedAt)
 	case e.Whole():
 		return ran && e.Status >= http.StatusInternalServerError && e.Signature == ""
 	case len(passed) > 0:
--- a/standin/internal/soaker/losses_test.go
+++ b/standin/internal/soaker/losses_test.go
@@ -52,6 +52,13 @@
 			checkViolations(t, s, passedOn(e), 1)
 		})
 	}
+	t.Run("dropped by a stop", func(t *testing.T) {
+		e := &speaker.Exchange{Answer: speaker.Answer{Err: errReset}, Unread: true}
+		s := soakOf(t, e, 2*arrivalTime)
+		s.stops.record(testInstance)
+		e.EndedAt = time.Now()
+		checkViolations(t, s, nil, 1)
+	})
 	t.Run("not passed on", func(t *testing.T) {
 		s := soakOf(t, &speaker.Exchange{Answer: speaker.Answer{Err: errReset}}, 2*lossSlack)
 		s.stops.record(testInstance)
@@ -82,10 +89,18 @@
 	run("link", cut(), time.Second, true, func(s *Soak) { s.linkFaults.record("t1") })
 	run("target", cut(), time.Second, true, func(s *Soak) { s.targetKills.record("t1") })
 	run("too old", cut(), speaker.LongTimeout, true, nothing)
-	left, behind, unread := cut(), cut(), cut()
-	left.Left, behind.Behind, unread.Unread = true, true, true
+	left, behind := cut(), cut()
+	left.Left, behind.Behind = true, true
 	run("left", left, time.Second, true, nothing)
 	run("behind", behind, time.Second, false, nothing)
-	run("unread", unread, time.Second, false, nothing)
 	run("crossing", cut(), lossSlack/2, false, nothing)
+	t.Run("sent after the stop began", func(t *testing.T) {
+		unread := cut()
+		unread.Unread = true
+		s := &Soak{Folder: t.TempDir()}
+		s.stops.record(testInstance)
+		unread.ID, unread.Instance, unread.SentAt, unread.EndedAt = "a-1", testInstance, time.Now(), time.Now()
+		s.sessions.exchanges = []*speaker.Exchange{unread}
+		checkViolations(t, s, nil, 0)
+	})
 }
