Soak: closed connections that callers hold are known by both ends

Cause: the check knew a held connection by its caller's address only. A port may be in use towards several instances at the same time, so that an open connection to one instance was taken for the closed one to another.

--- a/standin/internal/soaker/pipelines.go
+++ b/standin/internal/soaker/pipelines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -46,15 +47,27 @@
 }
 
 // sessions are the connections of the pipelines: what became of their requests, and those that the callers still hold
-// though their instances have closed them, by the callers' addresses.
+// though their instances have closed them, with the times of their ends.
 type sessions struct {
 	mu        sync.Mutex
 	exchanges []*speaker.Exchange
-	held      map[netip.AddrPort]time.Time
+	held      map[endpoints]time.Time
 	// mute is the number of connections that callers that do not read have to each instance.
 	mute map[string]int
 }
 
+// endpoints are the addresses of both ends of a connection. A caller's port may be in use towards several instances at the
+// same time.
+type endpoints struct {
+	caller, instance netip.AddrPort
+}
+
+// overdue is a connection that an instance keeps for longer than it may.
+type overdue struct {
+	endpoints
+	endedAt time.Time
+}
+
 // addMute adds to the number of connections to an instance of callers that do not read, and returns it.
 func (h *sessions) addMute(instance string, n int) int {
 	h.mu.Lock()
@@ -66,24 +79,50 @@
 	return h.mute[instance]
 }
 
-func (h *sessions) hold(s *speaker.Session) {
+func (h *sessions) hold(c endpoints, endedAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.held == nil {
-		h.held = map[netip.AddrPort]time.Time{}
+		h.held = map[endpoints]time.Time{}
 	}
-	h.held[localAddress(s)] = s.EndedAt
+	h.held[c] = endedAt
 }
 
 func (h *sessions) release(s *speaker.Session) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.held, localAddress(s))
+	delete(h.held, endpointsOf(s))
 	_ = s.Close()
 }
 
-func localAddress(s *speaker.Session) netip.AddrPort {
-	address, err := netip.ParseAddrPort(s.LocalAddr().String())
+// overdue returns the connections of an instance, given the callers' addresses of all that it has open, that are held and
+// ended more than closedLimit ago.
+func (h *sessions) overdue(instance netip.AddrPort, open []netip.AddrPort, now time.Time) []overdue {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []overdue
+	for _, caller := range open {
+		c := endpoints{caller, instance}
+		if endedAt, held := h.held[c]; held && now.Sub(endedAt) > closedLimit {
+			out = append(out, overdue{c, endedAt})
+		}
+	}
+	return out
+}
+
+// forget ends the watch of a connection.
+func (h *sessions) forget(c endpoints) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.held, c)
+}
+
+func endpointsOf(s *speaker.Session) endpoints {
+	return endpoints{addressOf(s.LocalAddr()), addressOf(s.RemoteAddr())}
+}
+
+func addressOf(a net.Addr) netip.AddrPort {
+	address, err := netip.ParseAddrPort(a.String())
 	if err != nil {
 		return netip.AddrPort{}
 	}
@@ -114,7 +153,7 @@
 		})
 		s.recordSession(session)
 		if habit.hold && !session.EndedAt.IsZero() {
-			s.sessions.hold(session)
+			s.sessions.hold(endpointsOf(session), session.EndedAt)
 			time.AfterFunc(holdTime, func() { s.sessions.release(session) })
 		} else {
 			_ = session.Close()
@@ -149,7 +188,8 @@
 // checkClosed checks the open connections of an entry instance.
 func (s *Soak) checkClosed(i int) {
 	address := s.callerAddress(i)
-	open, err := silencer.Open(int(s.entryPIDs[i].Load()), netip.MustParseAddrPort(address))
+	instance := netip.MustParseAddrPort(address)
+	open, err := silencer.Open(int(s.entryPIDs[i].Load()), instance)
 	now := time.Now()
 	if err != nil {
 		if !s.disturbances.between(address, now.Add(-2*stopTimeout), now) {
@@ -157,13 +197,10 @@
 		}
 		return
 	}
-	s.sessions.mu.Lock()
-	defer s.sessions.mu.Unlock()
-	for _, caller := range open {
-		ended, held := s.sessions.held[caller]
-		if held && now.Sub(ended) > closedLimit && !s.unplanned.between(address, ended, now) {
-			s.checker.fail("%s keeps the connection of %s open %s after its end", address, caller, now.Sub(ended))
-			delete(s.sessions.held, caller)
+	for _, o := range s.sessions.overdue(instance, open, now) {
+		if !s.unplanned.between(address, o.endedAt, now) {
+			s.checker.fail("%s keeps the connection of %s open %s after its end", address, o.caller, now.Sub(o.endedAt))
+			s.sessions.forget(o.endpoints)
 		}
 	}
 }
