Requests that begin during a planned stop get a final answer before the cut

Cause, as traced by TestStopAwaitsTheTimeOfRequests: a request that begins more than 1.2 s after SIGTERM has until its route's 4 s, and the connections are cut 5.3 s after SIGTERM.

The carrier now knows when connections are cut. A request that begins after the instance began to leave ends 0.1 to 0.2 s before that: with 504 if it may have run, and with 503 and Retry-After at once if less time is left than a run takes. Its target is told the shorter deadline. What began before is not touched: it has all of the time.

--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -100,9 +100,11 @@
 	// labelledPlan is the plan from which the organisations with a label in the metrics were chosen.
 	labelledPlan *wire.Plan
 	stopping     atomic.Bool
-	running      atomic.Int64
-	cancel       context.CancelFunc
-	done         chan struct{}
+	// endAt is when requests that have begun since Leave end at the latest; nil before.
+	endAt   atomic.Pointer[time.Time]
+	running atomic.Int64
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // Name implements kernel.Service.
@@ -139,6 +141,14 @@
 	return nil
 }
 
+// Leave tells that the process leaves, and that connections are cut at a given time. Requests that begin from now on get a
+// final answer before it: those that can't be served by then are refused at once.
+func (c *Carrier) Leave(cutAt time.Time) {
+	endAt := cutAt.Add(-2 * answerMargin)
+	c.endAt.Store(&endAt)
+	c.stopping.Store(true)
+}
+
 // Health implements kernel.Service.
 func (c *Carrier) Health() error {
 	if c.stopping.Load() {
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -87,6 +87,9 @@
 	if !call.Deadline.IsZero() && call.Deadline.Before(j.deadline) {
 		j.deadline = call.Deadline
 	}
+	if out := c.limitByStop(j); out != nil {
+		return out
+	}
 	if out := c.readBody(w, j); out != nil {
 		return out
 	}
@@ -95,6 +98,21 @@
 	return nil
 }
 
+// limitByStop ends a request before the connections of a process that leaves are cut. It is refused if the time until then
+// is shorter than a run takes.
+func (c *Carrier) limitByStop(j *job) *result {
+	endAt := c.endAt.Load()
+	if endAt == nil || j.deadline.Before(*endAt) {
+		return nil
+	}
+	if warm, _ := c.routes.expected(j.route); !time.Now().Add(warm).Before(*endAt) {
+		out := refuse(http.StatusServiceUnavailable, "leaving", time.Now().Add(failedRetryDelay))
+		return &out
+	}
+	j.deadline = *endAt
+	return nil
+}
+
 // readBody reads the request's body whole, until the request's deadline at the latest.
 func (c *Carrier) readBody(w http.ResponseWriter, j *job) *result {
 	if j.request.ContentLength == 0 {
--- a/entry/internal/cli/leaver.go
+++ b/entry/internal/cli/leaver.go
@@ -19,6 +19,7 @@
 // requests that are just being sent.
 type leaver struct {
 	watcher *watcher.Watcher
+	carrier *carrier.Carrier
 	caller  *listener.Listener
 	// serveTime is how long requests are still served after the instance has reported that it leaves.
 	serveTime time.Duration
@@ -45,6 +46,9 @@
 func (l *leaver) Stop(ctx context.Context) error {
 	l.leaving.Store(true)
 	l.caller.Leave()
+	if deadline, ok := ctx.Deadline(); ok {
+		l.carrier.Leave(deadline.Add(-closeReserve))
+	}
 	l.watcher.Leave()
 	_ = level.Info(l.logger).Log("msg", "leaving", "serve", l.serveTime)
 	select {
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -96,7 +96,7 @@
 	p.watcher.OnBackoffs = p.carrier.UpdateBackoffs
 	p.closer = &closer.Closer{Logger: p.logger, Metrics: closer.NewMetrics(p.registry)}
 	p.caller = p.newListener("caller", settings.Caller, p.carrier)
-	p.leaver = &leaver{watcher: p.watcher, caller: p.caller, serveTime: settings.AnswerMaxAge, logger: p.logger}
+	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, caller: p.caller, serveTime: settings.AnswerMaxAge, logger: p.logger}
 	return p
 }
 
