--- a/core/listener/later_test.go
+++ b/core/listener/later_test.go
@@ -39,3 +39,34 @@
 		})
 	}
 }
+
+// Guards against a request that goes on at its target though a planned stop has cut its connection, since its caller had
+// sent another one behind it: the handler waits for what ends later and leaves no time to deliver the last answers.
+func TestCutEndsRequestsWithOthersBehind(t *testing.T) {
+	for _, requests := range []int{1, 2} {
+		t.Run(strconv.Itoa(requests), func(t *testing.T) {
+			is := is.New(t)
+			begun, ended := make(chan bool, requests), make(chan bool, requests)
+			l := start(t, func(_ http.ResponseWriter, r *http.Request) {
+				begun <- true
+				select {
+				case <-r.Context().Done():
+					ended <- true
+				case <-t.Context().Done():
+				}
+			})
+			c := dial(t, l)
+			for i := range requests {
+				is.NoErr(c.Get("/"+strconv.Itoa(i), ""))
+			}
+			<-begun
+			time.Sleep(unusedGrace / 2) // the others have arrived
+			is.True(stop(l) != nil)
+			select {
+			case <-ended:
+			case <-time.After(unusedGrace):
+				t.Fatal("it goes on after the cut")
+			}
+		})
+	}
+}
