A refusal of a request whose body was read sets no read deadline

Callers whose connection was kept after a refusal could find each later request on it broken off as if they had gone: SkipBody sets a read deadline of 20 ms, also where the body has been read whole and the server already waits for the next request; if the process is suspended for longer before the deadline is taken back, that wait fails, and with it the context of the connection.

A body that has been read is seen without waiting, and if the deadline has passed by the time the rest was there, the answer closes the connection.

--- a/core/listener/body.go
+++ b/core/listener/body.go
@@ -24,16 +24,27 @@
 	if r.ProtoMajor != 1 || r.ContentLength == 0 || r.Header.Get("Expect") != "" {
 		return
 	}
+	if _, err := r.Body.Read(nil); hasEnded(err) {
+		return // the server already waits for the next request, which no deadline may end
+	}
 	connection := http.NewResponseController(w)
-	if err := connection.SetReadDeadline(time.Now().Add(bodyWait)); err != nil {
+	deadline := time.Now().Add(bodyWait)
+	if err := connection.SetReadDeadline(deadline); err != nil {
 		return // not a server's connection
 	}
 	_, err := io.CopyN(io.Discard, r.Body, maxRest)
-	if errors.Is(err, io.EOF) || errors.Is(err, http.ErrBodyReadAfterClose) {
+	if hasEnded(err) {
 		_ = connection.SetReadDeadline(time.Time{})
+	}
+	if hasEnded(err) && time.Now().Before(deadline) {
 		return
 	}
 	w.Header().Set("Connection", "close")
 	// The server goes on reading once the answer is sent.
 	_ = connection.SetReadDeadline(time.Now().Add(closer.Timeout))
 }
+
+// hasEnded reports whether an error of reading a body tells that nothing is left of it.
+func hasEnded(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, http.ErrBodyReadAfterClose)
+}
