The end of the time for a close leaves undelivered answers to the kernel

What has arrived is discarded before such a close where something is undelivered. If the caller sends more afterwards, the answer is lost as before.

--- a/core/closer/closer.go
+++ b/core/closer/closer.go
@@ -138,6 +138,7 @@
 	d := element.Value.(*draining) //nolint:errcheck,forcetypeassert // the list holds nothing else
 	c.draining.Remove(element)
 	d.reason = reason
+	d.conn.release()
 	_ = d.conn.TCPConn.Close()
 }
 
@@ -174,6 +175,7 @@
 		e.end = d.reason
 	}
 	c.mu.Unlock()
+	d.conn.release()
 	_ = d.conn.socket.closeNow(d.conn, e)
 	c.mu.Lock()
 	c.draining.Remove(element)
--- a/core/closer/drainer.go
+++ b/core/closer/drainer.go
@@ -95,4 +95,11 @@
 	}
 }
 
+// release leaves what is undelivered to the kernel when the socket is closed: with bytes unread, the kernel would discard it.
+func (c *Conn) release() {
+	if undelivered, _ := prober.Unacknowledged(c.TCPConn); undelivered > 0 {
+		prober.Discard(c.TCPConn, maxDiscarded)
+	}
+}
+
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/core/prober/prober.go
+++ b/core/prober/prober.go
@@ -9,6 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// discardBuffer is how many bytes Discard reads at a time.
+const discardBuffer = 16 << 10
+
 // Unacknowledged returns how many of the bytes written to a connection the other end has not acknowledged. The
 // second result is false if the connection is not a socket or the system does not report it.
 func Unacknowledged(c net.Conn) (int, bool) {
@@ -38,6 +41,20 @@
 	return count == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
 }
 
+// Discard reads and discards what has arrived on a connection, up to a number of bytes. It does not wait for more.
+func Discard(c net.Conn, limit int) {
+	buffer := make([]byte, min(limit, discardBuffer))
+	control(c, func(fd int) {
+		for limit > 0 {
+			n, _, err := unix.Recvfrom(fd, buffer, unix.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				return
+			}
+			limit -= n
+		}
+	})
+}
+
 // AwaitEnd waits until the other end has closed its side of a connection, whatever has arrived before that and was not
 // read. It returns unix.ECONNRESET if the other end has reset the connection, and an error if the read deadline passes
 // first, if the connection is closed, or if the system does not tell.
