What a stop takes for a request that is arriving

A head that the server has got whole keeps the connection in use until the server handles or closes it. - A request behind a body with a stated length was read with it and dropped (TestStopAnswersARequestBehindABody). The body's length is known from its request now, and the server gets no more than that. - A head that comes byte by byte took the stop all its time, as each byte began 100 ms anew, and kept the next listener open until it cut its requests (TestSlowHeadDoesNotDelayStop, TestSlowHeadDoesNotCutRequestsOfOtherListeners). The 100 ms run once now. - Unused connections with TLS, and ones that begin HTTP/2 and send no more, took the stop 5 s; a request over TLS on a connection that had not been used was dropped (TestUnusedConnectionOverTLSDoesNotDelayStop, TestUnfinishedHTTP2OpeningDoesNotDelayStop, TestStopAnswersRequestsThatItReadsOverTLS). They are treated like others until used. - A connection stayed open for good after a request that can't be read, as its close by the server was declined (TestUnreadableRequestOnAKeptConnectionClosesIt, no end in 5 s before). So the server's close is declined only while a handler runs or a Read is in progress.

One commit, as all of these are states of one connection.

--- a/core/closer/behind_test.go
+++ b/core/closer/behind_test.go
@@ -26,7 +26,7 @@
 	is.NoErr(err)
 	is.Equal(n, head)
 	local.SetIdle(false)
-	is.True(local.BeginRequest())
+	is.True(local.BeginRequest(0))
 	write(t, local, 1)
 	local.EndRequest(false)
 	local.SetIdle(true)
@@ -43,7 +43,7 @@
 	is.NoErr(err)
 	is.Equal(n, head)
 	is.Equal(s.CloseIdle(true), 1)
-	is.True(local.BeginRequest())
+	is.True(local.BeginRequest(0))
 }
 
 // Guards against an answer that the end of a planned stop discards because a later request is unread, though the kernel
@@ -52,7 +52,7 @@
 	is := is.New(t)
 	s := listen(t)
 	local, remote := connect(t, s)
-	is.True(local.BeginRequest())
+	is.True(local.BeginRequest(0))
 	write(t, local, answer)
 	local.EndRequest(false)
 	is.NoErr(local.Close())
--- a/core/closer/concurrency_test.go
+++ b/core/closer/concurrency_test.go
@@ -42,7 +42,7 @@
 		is := is.New(t)
 		s := listen(t)
 		local, remote := connect(t, s)
-		is.True(local.BeginRequest())
+		is.True(local.BeginRequest(0))
 		for range 4 {
 			go sendOn(remote)
 		}
@@ -100,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			local, remote := connect(t, listen(t))
-			is.True(local.BeginRequest())
+			is.True(local.BeginRequest(0))
 			write(t, local, answer)
 			local.EndRequest(hasBody)
 			is.NoErr(local.Close())
@@ -134,7 +134,7 @@
 	s := listen(t)
 	local, remote := connect(t, s)
 	write(t, local, answer)
-	is.True(local.BeginRequest())
+	is.True(local.BeginRequest(0))
 	s.Cut()
 	write(t, remote, 100)
 	time.Sleep(settleTime)
--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -25,9 +25,12 @@
 	reading bool
 	serving bool
 	idle    bool
-	// quietAt is when a head that has begun to arrive counts as incomplete. The server takes the connection for idle until it
-	// has read the whole head.
+	// used is set once the server has read a request.
+	used bool
+	// quietAt is when a head that has begun to arrive counts as incomplete, and handed is set once the server has got a whole
+	// head. The server takes the connection for idle until it has read that.
 	quietAt time.Time
+	handed  bool
 	// ended is set once the other end has closed or reset the connection.
 	ended  bool
 	closed bool
@@ -52,7 +55,9 @@
 	}
 	if len(c.ahead) > 0 {
 		defer c.mu.Unlock()
-		return c.take(b), nil
+		n, headEnds := c.take(b)
+		c.noteHead(headEnds)
+		return n, nil
 	}
 	c.reading = true
 	c.mu.Unlock()
@@ -67,19 +72,28 @@
 		close(c.readEnds)
 		return 0, net.ErrClosed
 	}
-	if c.idle {
-		c.quietAt = time.Now().Add(headTime)
-	}
-	if err != nil {
-		c.quietAt = time.Time{}
-	}
 	if missing := len(http2Opening) - len(c.opening); missing > 0 {
 		c.opening = append(c.opening, b[:min(n, missing)]...)
 	}
-	if c.multiplexed() {
-		return n, err
+	headEnds := false
+	if !c.multiplexed() {
+		n, headEnds = c.split(b[:n])
+	}
+	if n > 0 {
+		c.noteHead(headEnds)
+	}
+	return n, err
+}
+
+// noteHead records that the server gets a part of a head while it takes the connection for idle.
+func (c *Conn) noteHead(ends bool) {
+	switch {
+	case !c.idle:
+	case ends:
+		c.handed = true
+	case c.quietAt.IsZero() || c.socket.Encrypted:
+		c.quietAt = time.Now().Add(headTime)
 	}
-	return c.split(b[:n]), err
 }
 
 // Write implements net.Conn.
@@ -108,16 +122,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = idle
+	c.used = c.used || !idle
 	c.skippable = c.skippable && idle
-	c.quietAt = time.Time{}
+	c.quietAt, c.handed = time.Time{}, false
 }
 
 // BeginRequest reports whether an HTTP/1 request that was read from the connection may be handled: after Close its answer
-// couldn't be sent. Until EndRequest, Close has no effect.
-func (c *Conn) BeginRequest() bool {
+// couldn't be sent. Until EndRequest, Close has no effect. Length is the stated length of its body in bytes, if there is one.
+func (c *Conn) BeginRequest(length int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving, c.skippable = !c.closed, false
+	c.body = max(0, length)
 	return c.serving
 }
 
@@ -146,14 +162,17 @@
 	}
 	waiting, _ := prober.Unread(c.TCPConn)
 	c.leaving, c.due = true, c.received+int64(waiting)
+	if !c.quietAt.IsZero() {
+		c.quietAt = time.Now().Add(headTime)
+	}
 }
 
 // Close implements net.Conn. It returns at once. It has no effect while an HTTP/1 request is handled, or waits to be read
-// on an idle connection: a server that stops answers it and closes the connection again.
+// by a Read in progress: a server that stops answers it and closes the connection again.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.busy() {
+	if c.closed || c.serves() {
 		return nil
 	}
 	return c.close()
@@ -163,10 +182,12 @@
 func (c *Conn) closeIdle(unused bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	switch {
+	case c.closed:
 		return false
-	}
-	if c.idle && (unused || len(c.opening) > 0) && !c.busy() {
+	case c.multiplexed() && c.used:
+		return false // the server closes it
+	case c.idle && (unused || len(c.opening) > 0 && !c.multiplexed()) && !c.arriving():
 		_ = c.close() // the other end has gone if it fails
 	}
 	return !c.closed
@@ -192,27 +213,31 @@
 	return nil
 }
 
-// busy reports whether a close because the server stops would cut off a request.
-func (c *Conn) busy() bool {
+// serves reports whether a close by the server would cut off a request.
+func (c *Conn) serves() bool {
 	if c.multiplexed() || c.socket.cutting.Load() {
 		return false
 	}
-	if c.serving || c.idle && len(c.ahead) > 0 {
-		return true
+	return c.serving || c.idle && c.reading && c.waiting()
+}
+
+// arriving reports whether a request has arrived on an idle connection, or is just arriving.
+func (c *Conn) arriving() bool {
+	if c.socket.cutting.Load() {
+		return false
 	}
-	waiting, _ := prober.Unread(c.TCPConn)
-	return c.idle && (c.reading && waiting > 0 || time.Now().Before(c.quietAt))
+	return c.serves() || c.handed || len(c.ahead) > 0 || time.Now().Before(c.quietAt)
+}
+
+// waiting reports whether bytes have arrived and were not read.
+func (c *Conn) waiting() bool {
+	count, _ := prober.Unread(c.TCPConn)
+	return count > 0
 }
 
 // multiplexed reports whether the connection is used by a layer that closes it on its own: TLS or HTTP/2.
 func (c *Conn) multiplexed() bool { return c.socket.Encrypted || string(c.opening) == http2Opening }
 
-func (c *Conn) isMultiplexed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.multiplexed()
-}
-
 // state returns what is unread and undelivered at this moment.
 func (c *Conn) state() closing {
 	out := closing{service: c.socket.Service, remote: c.RemoteAddr(), begun: time.Now(), skip: c.skippable, end: idle}
--- a/core/closer/socket.go
+++ b/core/closer/socket.go
@@ -63,11 +63,12 @@
 }
 
 // CloseIdle closes the idle connections on which nothing has arrived; those on which no request has begun only if unused
-// is set. It returns how many of the others are in use, but for those of TLS and HTTP/2, which the server has to close.
+// is set. It returns how many of the others are in use, but for those of TLS and HTTP/2 that have been used: the server has to
+// close them.
 func (s *Socket) CloseIdle(unused bool) int {
 	inUse := 0
 	for _, c := range s.open() {
-		if !c.isMultiplexed() && c.closeIdle(unused) {
+		if c.closeIdle(unused) {
 			inUse++
 		}
 	}
--- a/core/listener/halt_test.go
+++ b/core/listener/halt_test.go
@@ -86,3 +86,20 @@
 	is.NoErr(stop(l))
 	is.Equal(<-status, http.StatusNoContent)
 }
+
+// Guards against connections that stay open for good: the server gives up a request that it can't read, while it still
+// takes the connection for idle.
+func TestUnreadableRequestOnAKeptConnectionClosesIt(t *testing.T) {
+	is := is.New(t)
+	l := start(t, func(http.ResponseWriter, *http.Request) {})
+	defer func() { _ = stop(l) }()
+	c := dial(t, l)
+	is.NoErr(c.Get("/", ""))
+	assertAnswer(t, c, http.StatusOK, 0)
+	_, err := io.WriteString(c, "GET\r\n\r\n")
+	is.NoErr(err)
+	assertAnswer(t, c, http.StatusBadRequest, len("400 Bad Request"))
+	is.NoErr(c.SetReadDeadline(time.Now().Add(patience)))
+	_, err = c.Conn.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if r.ProtoMajor == 1 {
-		if !c.BeginRequest() {
+		if !c.BeginRequest(r.ContentLength) {
 			panic(http.ErrAbortHandler)
 		}
 		defer c.EndRequest(r.ContentLength != 0)
@@ -144,7 +144,7 @@
 // observe keeps count of the connections, and tells them when they are idle. The server calls it with each change of a
 // connection's state.
 func (l *Listener) observe(c net.Conn, state http.ConnState) {
-	if accepted, ok := c.(*closer.Conn); ok {
+	if accepted, ok := withoutTLS(c).(*closer.Conn); ok {
 		accepted.SetIdle(state == http.StateNew || state == http.StateIdle)
 	}
 	switch state {
@@ -171,6 +171,11 @@
 // connection returns the connection below TLS of the request with context ctx, or nil.
 func connection(ctx context.Context) net.Conn {
 	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return withoutTLS(c)
+}
+
+// withoutTLS returns the connection below TLS.
+func withoutTLS(c net.Conn) net.Conn {
 	if encrypted, ok := c.(*tls.Conn); ok {
 		return encrypted.NetConn()
 	}
