--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilrail.example/core/prober"
@@ -91,9 +92,9 @@
 	head    *headReader
 	reader  *bufio.Reader
 	address netip.AddrPort
-	// fresh is set until the connection has carried a request; unsent is set once a request could not be sent whole.
+	// fresh is set until the connection has carried a request; unsent is set while a request is not sent whole.
 	fresh  bool
-	unsent bool
+	unsent atomic.Bool
 	// idleUntil is the time until which the idle connection may be reused.
 	idleUntil time.Time
 }
@@ -236,23 +237,6 @@
 	}
 }
 
-// roundTrip writes the request and reads its answer. A target may answer before it has read a whole request, and close the
-// connection: its answer may have arrived though the rest of the request can't be sent.
-func (c *conn) roundTrip(r *Request, encoded []byte, held *buffers) (*Answer, Outcome, error) {
-	n, err := c.Write(encoded)
-	if err == nil {
-		return c.await(r, held)
-	}
-	if n == 0 && c.fresh {
-		return nil, Unsent, err
-	}
-	c.unsent = true
-	if answer, outcome, failure := c.await(r, held); failure == nil {
-		return answer, outcome, nil
-	}
-	return nil, Broken, err
-}
-
 // await reads answers until the one to the request.
 func (c *conn) await(r *Request, held *buffers) (*Answer, Outcome, error) {
 	for range maxUnexpectedAnswers + 1 {
@@ -289,7 +273,7 @@
 		return nil, err
 	}
 	unbounded := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if c.unsent && unbounded { // the failed write has taken the reset, and the end would look orderly
+	if c.unsent.Load() && unbounded { // a failed write has taken the reset, and the end would look orderly
 		return nil, io.ErrUnexpectedEOF
 	}
 	body, err := c.readBody(response.Body, response.ContentLength, held)
@@ -305,7 +289,7 @@
 
 // reusable reports whether the next request may use the connection: unexpected bytes would be taken for its answer.
 func (c *conn) reusable(a *Answer) bool {
-	return !c.unsent && a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
+	return !c.unsent.Load() && a.Header.Get("Connection") != "close" && c.reader.Buffered() == 0
 }
 
 // WithheldError reports that a request was not sent because of what its Withhold returned.
