A cut ends all requests in progress

A request behind which another one had arrived went on at its target after a planned stop had cut its connection: the server notices the end of a connection by a read, and does not read on while the byte of a further request waits. All contexts of requests are cancelled with the cut.

--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -56,6 +56,8 @@
 	accepted atomic.Int64
 	// stopping is set by Stop.
 	stopping atomic.Bool
+	// cancel cancels the contexts of all requests.
+	cancel context.CancelFunc
 	// leave guards against leaving twice.
 	leave sync.Once
 }
@@ -69,12 +71,15 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
+	base, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
 	l.server = &http.Server{
 		Handler:           http.HandlerFunc(l.handle),
 		ReadHeaderTimeout: HeaderTimeout,
 		IdleTimeout:       IdleTimeout,
 		MaxHeaderBytes:    MaxHeader,
 		Protocols:         protocols,
+		BaseContext:       func(net.Listener) context.Context { return base },
 		ConnContext:       withConn,
 		ConnState:         l.observe,
 	}
@@ -121,7 +126,7 @@
 		if !c.BeginRequest(r.ContentLength) {
 			panic(http.ErrAbortHandler)
 		}
-		defer c.EndRequest(r.ContentLength != 0)
+		defer c.EndRequest()
 	}
 	a := &answer{ResponseWriter: w, conn: c}
 	l.Handler.ServeHTTP(a, r)
@@ -236,6 +241,7 @@
 	}
 	open, _ := l.Connections()
 	_ = level.Warn(l.Logger).Log("msg", "requests cut by the stop", "service", l.ServiceName, "connections", open)
+	l.cancel() // the server does not cancel those with further requests behind them
 	l.socket.Cut()
 	_ = l.server.Close()
 	return &CutError{Listener: l.ServiceName, Connections: open, Cause: err}
