A request behind a body that was read stays unread; a stop waits for what had arrived

After a request with a body, of which everything had been read, the closer read and discarded later requests (TestRequestsBehindTheLastAnswerToABodyAreNotRead). It depends on what is left of the body now; TestRequestsBehindTheLastAnswerAreNotRead covers bodies in chunks, too.

A stop that looked at a connection between two requests, with nothing read ahead and the next one still in the kernel, closed it (TestStopAnswersBurstsOfRequests, 1 of 2 runs with the race detector, 87 of 6,000 requests). What had arrived before the stop keeps the connection in use.

--- a/core/closer/arrivals.go
+++ b/core/closer/arrivals.go
@@ -9,8 +9,10 @@
 	ahead []byte
 	// line is the state of the search for the end of a head in what was given to the server.
 	line lineState
-	// body is how many bytes of a body with a stated length the server has not got yet. Bodies in chunks end like heads.
-	body int64
+	// body is how many bytes of a body with a stated length the server has not got yet. Chunked is set for a body in chunks,
+	// which ends like a head.
+	body    int64
+	chunked bool
 	// received is the number of bytes that were read.
 	received int64
 	// leaving is set once the process leaves, and due is then how many bytes had arrived by that time.
--- a/core/closer/behind_test.go
+++ b/core/closer/behind_test.go
@@ -28,7 +28,7 @@
 	local.SetIdle(false)
 	is.True(local.BeginRequest(0))
 	write(t, local, 1)
-	local.EndRequest(false)
+	local.EndRequest()
 	local.SetIdle(true)
 }
 
@@ -54,7 +54,7 @@
 	local, remote := connect(t, s)
 	is.True(local.BeginRequest(0))
 	write(t, local, answer)
-	local.EndRequest(false)
+	local.EndRequest()
 	is.NoErr(local.Close())
 	write(t, remote, 100)
 	ctx, cancel := context.WithTimeout(t.Context(), Timeout/4)
--- a/core/closer/closer_test.go
+++ b/core/closer/closer_test.go
@@ -174,7 +174,7 @@
 		is.True(local.BeginRequest(0))
 		is.NoErr(local.Close())
 		write(t, local, answer)
-		local.EndRequest(false)
+		local.EndRequest()
 		is.NoErr(local.Close())
 		readAll(t, remote, answer)
 	})
--- a/core/closer/concurrency_test.go
+++ b/core/closer/concurrency_test.go
@@ -96,20 +96,20 @@
 
 // Guards against requests behind the last answer that are read and dropped: callers repeat those that were not read.
 func TestRequestsBehindTheLastAnswerAreNotRead(t *testing.T) {
-	for name, hasBody := range map[string]bool{"request without body": false, "request with body": true} {
+	for name, length := range map[string]int64{"request without body": 0, "request with body": 10, "request with chunks": -1} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			local, remote := connect(t, listen(t))
-			is.True(local.BeginRequest(0))
+			is.True(local.BeginRequest(length))
 			write(t, local, answer)
-			local.EndRequest(hasBody)
+			local.EndRequest()
 			is.NoErr(local.Close())
 			write(t, remote, 100)
 			readAll(t, remote, answer)
 			time.Sleep(settleTime)
 			unread, open := prober.Unread(local.TCPConn)
 			is.True(open)
-			is.Equal(unread == 0, hasBody) // the rest of a body is discarded
+			is.Equal(unread == 0, length != 0) // the rest of a body is discarded
 			is.NoErr(remote.CloseWrite())
 			time.Sleep(settleTime)
 			is.Equal(local.socket.Closer.count(), 0)
--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -38,7 +38,7 @@
 	readEnds chan struct{}
 	// opening holds the first bytes that were read, up to the length of http2Opening.
 	opening []byte
-	// skippable is set once a request without a body was handled: whatever follows it is further requests.
+	// skippable is set once a request was handled and its whole body was read: what follows it is further requests.
 	skippable bool
 	arrivals
 }
@@ -128,21 +128,21 @@
 }
 
 // BeginRequest reports whether an HTTP/1 request that was read from the connection may be handled: after Close its answer
-// couldn't be sent. Until EndRequest, Close has no effect. Length is the stated length of its body in bytes, if there is one.
+// couldn't be sent. Until EndRequest, Close has no effect. Length is that of its body in bytes, below zero for one in chunks.
 func (c *Conn) BeginRequest(length int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving, c.skippable = !c.closed, false
-	c.body = max(0, length)
+	c.body, c.chunked = max(0, length), length < 0
 	return c.serving
 }
 
-// EndRequest ends what BeginRequest began. HasBody tells whether the request had a body.
-func (c *Conn) EndRequest(hasBody bool) {
+// EndRequest ends what BeginRequest began.
+func (c *Conn) EndRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
-	c.skippable = !hasBody
+	c.skippable = !c.chunked && c.body == 0
 }
 
 // Last reports whether the answer to the request that is handled has to be the last one on the connection, as the process
@@ -226,7 +226,7 @@
 	if c.socket.cutting.Load() {
 		return false
 	}
-	return c.serves() || c.handed || len(c.ahead) > 0 || time.Now().Before(c.quietAt)
+	return c.serves() || c.handed || len(c.ahead) > 0 || c.leaving && c.awaited() || time.Now().Before(c.quietAt)
 }
 
 // waiting reports whether bytes have arrived and were not read.
--- a/core/listener/halt_test.go
+++ b/core/listener/halt_test.go
@@ -100,6 +100,6 @@
 	is.NoErr(err)
 	assertAnswer(t, c, http.StatusBadRequest, len("400 Bad Request"))
 	is.NoErr(c.SetReadDeadline(time.Now().Add(patience)))
-	_, err = c.Conn.Read(make([]byte, 1))
+	_, err = c.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 }
