A rejection of a message of a former term confirms no round

Callers may see: two controllers that hold the lease of the leader at once, so that both grant the same quota, and reads at the older one miss a change that was acknowledged.

Cause: a replica that rejects a message because its term is over answered with its own term and the message's round. The rounds begin at one when a replica restarts. If the sender has restarted and leads the new term, the rejection names that term and a round that the sender has meanwhile sent anew, and the lease counts from then, although the rejecting replica answered earlier and has promised nothing. Each number was right for itself, but they came from two runs.

The rejection no longer carries the round: its only purpose is that the former leader learns the newer term. Considered: rounds that begin at random in each run. That would also protect a leader from replicas of an older version, but leaves the pair of numbers that don't belong together, and only makes their meeting unlikely.

--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -168,7 +168,10 @@
 // acceptLeader accepts the sender as leader, or rejects its message if its term is over.
 func (r *Replica) acceptLeader(now time.Time, m *wire.Message) bool {
 	if m.GetTerm() < r.term {
-		r.reply(m, &wire.Message{Reject: true, Hint: r.log.last()})
+		// Without the round: the sender may lead this replica's term by now, and have begun its rounds anew.
+		r.send(m.GetFrom(), &wire.Message{
+			Kind: wire.MessageKind_MESSAGE_APPEND_REPLY, Term: r.term, Reject: true, Hint: r.log.last(),
+		})
 		return false
 	}
 	r.becomeFollower(now, m.GetTerm(), m.GetFrom())
