A restarted replica dates its state by rounds of its present run only

Callers may see: a controller that has just restarted serves an older configuration as the newest, after a later change was acknowledged, and an entry instance that starts takes it.

Cause: a follower dates its state by when it first answered the round that the leader has heard of. It forgets at a restart what it has answered. A late message of that round then counts as answered first on its arrival, and says itself that the leader has heard of the answer: the state that the leader had when it built the message is dated by when it arrived.

Each run of a replica now has a random number. Answers carry it, and the leader names the run together with the round; a replica dates its state only by its present run. Considered: to save the newest answered round, which takes a write each heartbeat; and to number answers from a random start in place of rounds, which keeps a number for each message, and the rounds besides for older controllers. An older follower is confirmed as before. A new follower of an older leader is unconfirmed until a new one leads: to accept such rounds would keep the fault at the moment of the update.

--- a/controller/internal/consenter/consenter.go
+++ b/controller/internal/consenter/consenter.go
@@ -159,6 +159,7 @@
 	c.replica = replicator.Replica{
 		Group:     recovered.Identity.GetGroup(),
 		Self:      c.Member,
+		Run:       rand.Uint64() | 1,
 		Timing:    c.Timing,
 		Random:    rand.New(rand.NewPCG(c.Member.GetIncarnation(), uint64(now.UnixNano()))),
 		MaxVoters: c.MaxVoters,
--- a/core/replicator/confirmation.go
+++ b/core/replicator/confirmation.go
@@ -10,7 +10,8 @@
 // committed: they may not have elected a leader yet, or this replica may miss only the leader's messages. A message of a
 // leader with a valid lease proves that the follower holds all that was committed when the leader built the message, but
 // the message may have been on its way for long. So the leader names the newest round that this replica has answered,
-// and the state is dated by when that answer was sent.
+// and the state is dated by when that answer was sent. It also names the run of this replica that answered: after a restart
+// messages of that round may still arrive and be answered once more, later than the leader built its message.
 type confirmation struct {
 	term uint64
 	// answered holds when this replica answered the recent rounds of the term's leader, each for the first time.
@@ -37,6 +38,9 @@
 
 // confirm processes a leader's append after its entries and commit index were accepted.
 func (r *Replica) confirm(m *wire.Message) {
+	if m.GetRun() != r.Run {
+		return
+	}
 	c := &r.confirmation
 	at, ok := c.answered[m.GetAnswered()]
 	if !ok || r.commit < m.GetCommit() {
@@ -57,10 +61,11 @@
 	}
 }
 
-// answeredBy returns the newest round that a replica has answered, or 0 while this leader's lease is not valid.
-func (r *Replica) answeredBy(now time.Time, p *progress) uint64 {
+// answeredBy returns the newest round that a replica has answered, and the run that did, or 0 while this leader's lease is
+// not valid.
+func (r *Replica) answeredBy(now time.Time, p *progress) (round, run uint64) {
 	if !r.LeaseDeadline(now).After(now) {
-		return 0
+		return 0, 0
 	}
-	return p.answered
+	return p.answered, p.run
 }
--- a/core/replicator/group_test.go
+++ b/core/replicator/group_test.go
@@ -58,7 +58,9 @@
 	replicas []*testReplica
 	inFlight []*wire.Message
 	serial   uint64
-	names    []string
+	// runs is how many runs of replicas have begun.
+	runs  uint64
+	names []string
 	// chosen holds the term and data of each committed entry, by index.
 	chosen map[uint64]string
 	// acked and pending hold the terms of acknowledged entries and of all proposed ones, by index.
@@ -73,7 +75,9 @@
 	naiveVote bool
 	// naiveDate dates a follower's state by when the leader's message arrived.
 	naiveDate bool
-	timing    Timing
+	// older holds the names of replicas of a version without runs.
+	older  map[string]bool
+	timing Timing
 	// state is the content of snapshots.
 	state []byte
 	// largest is the size in bytes up to which proposals are filled up, or 0.
@@ -139,9 +143,15 @@
 }
 
 func (g *group) boot(n *testReplica) {
+	g.runs++
+	run := g.runs
+	if g.older[n.disk.self.GetName()] {
+		run = 0
+	}
 	n.Replica = &Replica{
 		Group:     n.disk.group,
 		Self:      n.disk.self,
+		Run:       run,
 		Timing:    g.timing,
 		Random:    g.random,
 		MaxVoters: len(g.names),
@@ -318,6 +328,9 @@
 // deliver delivers the message at position i. With keep, the message stays in flight and may be delivered again.
 func (g *group) deliver(i int, keep bool) {
 	m := g.inFlight[i]
+	if g.older[m.GetFrom().GetName()] || g.older[m.GetTo().GetName()] {
+		m.Run = 0
+	}
 	if !keep {
 		g.inFlight = append(g.inFlight[:i:i], g.inFlight[i+1:]...)
 	}
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -60,8 +60,10 @@
 
 // Replica is one member of the group. Set the exported fields, then call Start.
 type Replica struct {
-	Group  uint64
-	Self   *wire.Member
+	Group uint64
+	Self  *wire.Member
+	// Run identifies this run of the replica among all others from the same disk. It is never 0.
+	Run    uint64
 	Timing Timing
 	Random *rand.Rand
 	// MaxVoters is how many replicas vote at most. Others that join replicate the log as learners, and get a vote when
@@ -117,8 +119,9 @@
 	probing bool
 	// confirmed is the send time of the latest round that the replica answered.
 	confirmed time.Time
-	// answered is the latest round that the replica answered.
+	// answered is the latest round that the replica answered, and run the replica's run that did.
 	answered uint64
+	run      uint64
 	// since is when this leader began to send to the replica.
 	since time.Time
 	// progressAt is when the replica last acknowledged something that was under way, or when that was sent if nothing was
--- a/core/replicator/replication.go
+++ b/core/replicator/replication.go
@@ -112,6 +112,7 @@
 }
 
 func (r *Replica) sendAppend(now time.Time, p *progress, previous uint64, entries []*wire.Entry) {
+	answered, run := r.answeredBy(now, p)
 	r.send(p.member, &wire.Message{
 		Kind:     wire.MessageKind_MESSAGE_APPEND,
 		Term:     r.term,
@@ -120,7 +121,8 @@
 		Entries:  entries,
 		Commit:   r.commit,
 		Round:    r.round,
-		Answered: r.answeredBy(now, p),
+		Answered: answered,
+		Run:      run,
 	})
 }
 
@@ -184,6 +186,7 @@
 	answer.Kind = wire.MessageKind_MESSAGE_APPEND_REPLY
 	answer.Term = r.term
 	answer.Round = m.GetRound()
+	answer.Run = r.Run
 	r.send(m.GetFrom(), answer)
 }
 
@@ -245,7 +248,7 @@
 	if !ok {
 		return
 	}
-	r.recordConfirmation(p, m.GetRound())
+	r.recordConfirmation(p, m)
 	if m.GetReject() {
 		r.handleRejection(now, p, m)
 		return
@@ -255,11 +258,11 @@
 
 // recordConfirmation records when the round that a replica replied to was sent. A lease counts from that time, never
 // from when the reply arrived.
-func (r *Replica) recordConfirmation(p *progress, round uint64) {
-	sent, ok := r.rounds[round]
+func (r *Replica) recordConfirmation(p *progress, m *wire.Message) {
+	sent, ok := r.rounds[m.GetRound()]
 	if ok && sent.After(p.confirmed) {
 		p.confirmed = sent
-		p.answered = round
+		p.answered, p.run = m.GetRound(), m.GetRun()
 	}
 }
 
