Controllers log slow syncs of their disk

Operators and postmortems saw that all controllers halted for 0.6 to 3.2 s and could only guess at a sync of the disk: nothing was logged or counted about it. A control goroutine that stood still for as long says so, too: without a slow sync beside it, it lacked processor time.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -23,6 +23,7 @@
 	"chervilrail.example/controller/internal/counter"
 	"chervilrail.example/controller/internal/courier"
 	"chervilrail.example/controller/internal/exchanger"
+	"chervilrail.example/controller/internal/observer"
 	"chervilrail.example/controller/internal/selector"
 	"chervilrail.example/controller/internal/server"
 	"chervilrail.example/core/bounder"
@@ -157,13 +158,15 @@
 	fatal := make(chan error, 1)
 	controlKeys := &securer.Keys{Files: settings.ControlKeys}
 	sender := &courier.Courier{Dialer: &dialer.Dialer{Keys: controlKeys}, Logger: logs}
+	syncs := &observer.Observer{Logger: logs, Durations: observer.NewDurations(registry)}
 	consensus := newConsenter(settings, sender, logs, fatal)
+	consensus.Observer = syncs
 	work := &counter.Counter{Logger: logs}
 	exchange := &exchanger.Exchanger{
 		Self: settings.Name, Region: settings.Region, Consensus: consensus,
 		Dialer:     &dialer.Dialer{Keys: controlKeys, HTTP1Only: true},
-		HostStore:  &storer.HostStore{Folder: settings.Folder},
-		LeaveStore: &storer.LeaveStore{Folder: settings.Folder}, Counter: work, Logger: logs,
+		HostStore:  &storer.HostStore{Folder: settings.Folder, Observer: syncs},
+		LeaveStore: &storer.LeaveStore{Folder: settings.Folder, Observer: syncs}, Counter: work, Logger: logs,
 	}
 	consensus.OnRoutingChange = exchange.RoutingChanged
 	change := &changer.Changer{Consensus: consensus, Forwarder: exchange, Logger: logs}
--- a/controller/internal/consenter/consenter.go
+++ b/controller/internal/consenter/consenter.go
@@ -25,6 +25,8 @@
 const (
 	queueLength = 4096
 	tickEvery   = 10 * time.Millisecond
+	// latePass is the time between two passes of the control goroutine from which it is logged.
+	latePass = 250 * time.Millisecond
 	// compactAfter is how many log entries, and compactBytes how many bytes of them, are applied before a snapshot is made
 	// at the latest, unless the last snapshot was larger.
 	compactAfter = 8192
@@ -56,7 +58,9 @@
 	OnRoutingChange func()
 	// Opener opens the files in Folder to write. If it is nil, the operating system does.
 	Opener storer.Opener
-	Logger log.Logger
+	// Observer measures the syncs of the disk, unless it is nil.
+	Observer storer.Observer
+	Logger   log.Logger
 	// Fatal receives the error after which the control goroutine has ended. A disk that takes no more bytes is none.
 	Fatal chan<- error
 
@@ -103,7 +107,7 @@
 // Start recovers the state from disk and starts the control goroutine. While the disk takes no bytes, the controller
 // starts without a part in the group.
 func (c *Consenter) Start(context.Context, kernel.Finder) error {
-	c.store = storer.Storer{Folder: c.Folder, Opener: c.Opener}
+	c.store = storer.Storer{Folder: c.Folder, Opener: c.Opener, Observer: c.Observer}
 	c.proposals = map[uint64]*proposal{}
 	now := time.Now()
 	if err := c.open(now, c.store.Open); err != nil && (!storer.Refused(err) || !c.suspend(now, err)) {
--- a/controller/internal/consenter/loop.go
+++ b/controller/internal/consenter/loop.go
@@ -15,6 +15,7 @@
 	defer close(c.done)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -32,9 +33,20 @@
 			c.Fatal <- err
 			return
 		}
+		last = c.logLatePass(last)
 	}
 }
 
+// logLatePass logs a pass of the control goroutine that ends long after the last one, and returns when it ended. Without a
+// line of a slow sync beside it, the goroutine lacked processor time.
+func (c *Consenter) logLatePass(last time.Time) time.Time {
+	now := time.Now()
+	if took := now.Sub(last); took >= latePass {
+		_ = level.Warn(c.Logger).Log("msg", "control goroutine late", "took", took, "role", c.replica.Role())
+	}
+	return now
+}
+
 // process carries out the replica's work, or, while the disk takes no bytes, tries to take part in the group again.
 func (c *Consenter) process(now time.Time) error {
 	var err error
--- a/core/storer/hosts.go
+++ b/core/storer/hosts.go
@@ -16,6 +16,8 @@
 // requests, so neither reading nor writing them may delay records that have to be durable.
 type HostStore struct {
 	Folder string
+	// Observer measures the syncs, unless it is nil.
+	Observer Observer
 }
 
 // Load returns the hosts that were saved last, and none if there is no file. It returns a DamageError if the file can't
@@ -38,6 +40,6 @@
 	if err != nil {
 		return &FileError{Action: "encode", Path: hostsFile, Cause: err}
 	}
-	files := Storer{Folder: h.Folder}
+	files := Storer{Folder: h.Folder, Observer: h.Observer}
 	return files.replaceFile(hostsFile, encodeRecord(recordHosts, data))
 }
--- a/core/storer/leaves.go
+++ b/core/storer/leaves.go
@@ -22,6 +22,8 @@
 // concurrent use.
 type LeaveStore struct {
 	Folder string
+	// Observer measures the syncs, unless it is nil.
+	Observer Observer
 
 	file *os.File
 	size int64
@@ -66,7 +68,7 @@
 	}
 	_, err := l.file.Write(added)
 	if err == nil {
-		err = l.file.Sync()
+		err = l.files().sync(l.file)
 	}
 	if err != nil {
 		l.close()
@@ -89,8 +91,7 @@
 	for _, encoded := range l.written {
 		data = append(data, encoded...)
 	}
-	files := Storer{Folder: l.Folder}
-	if err := files.replaceFile(leavesFile, data); err != nil {
+	if err := l.files().replaceFile(leavesFile, data); err != nil {
 		return err
 	}
 	file, err := os.OpenFile(l.path(), os.O_APPEND|os.O_WRONLY, fileMode)
@@ -108,4 +109,6 @@
 	}
 }
 
+func (l *LeaveStore) files() *Storer { return &Storer{Folder: l.Folder, Observer: l.Observer} }
+
 func (l *LeaveStore) path() string { return filepath.Join(l.Folder, leavesFile) }
--- a/core/storer/recovery.go
+++ b/core/storer/recovery.go
@@ -38,7 +38,7 @@
 	if err := s.discardTail(); err != nil {
 		return nil, err
 	}
-	*s = Storer{Folder: s.Folder, Opener: s.Opener}
+	*s = Storer{Folder: s.Folder, Opener: s.Opener, Observer: s.Observer}
 	return s.Open()
 }
 
@@ -171,7 +171,7 @@
 	if err := file.Truncate(size); err != nil {
 		return &FileError{Action: "truncate", Path: path, Cause: err}
 	}
-	if err := file.Sync(); err != nil {
+	if err := s.sync(file); err != nil {
 		return &FileError{Action: "sync", Path: path, Cause: err}
 	}
 	return nil
--- a/core/storer/storer.go
+++ b/core/storer/storer.go
@@ -42,11 +42,19 @@
 	OpenFile(path string, flag int, mode fs.FileMode) (File, error)
 }
 
+// Observer measures syncs.
+type Observer interface {
+	// Observe is called before a sync of a file or folder; what it returns is called after it.
+	Observe(path string) (done func())
+}
+
 // Storer writes to one data folder. Set Folder, then call Open. It is not safe for concurrent use.
 type Storer struct {
 	Folder string
 	// Opener opens the files to write. If it is nil, the operating system does.
 	Opener Opener
+	// Observer measures the syncs, unless it is nil.
+	Observer Observer
 
 	// segment is the file being written, serial its number, and segmentSize the bytes of it that are durable.
 	segment     File
@@ -129,7 +137,7 @@
 		s.failure = &FileError{Action: "write", Path: path, Cause: err}
 		return s.failure
 	}
-	if err := s.segment.Sync(); err != nil {
+	if err := s.sync(s.segment); err != nil {
 		s.failure = &FileError{Action: "sync", Path: path, Cause: err}
 		return s.failure
 	}
@@ -217,6 +225,18 @@
 	return nil
 }
 
+// sync makes what was written to a file durable.
+func (s *Storer) sync(f interface {
+	Name() string
+	Sync() error
+},
+) error {
+	if s.Observer != nil {
+		defer s.Observer.Observe(f.Name())()
+	}
+	return f.Sync()
+}
+
 // open opens a file for writing.
 func (s *Storer) open(path string, flag int) (File, error) {
 	if s.Opener != nil {
@@ -236,7 +256,7 @@
 	}
 	_, err = file.Write(data)
 	if err == nil {
-		err = file.Sync()
+		err = s.sync(file)
 	}
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
@@ -272,7 +292,7 @@
 		return &FileError{Action: "open", Path: s.Folder, Cause: err}
 	}
 	defer func() { _ = folder.Close() }()
-	if err := folder.Sync(); err != nil {
+	if err := s.sync(folder); err != nil {
 		return &FileError{Action: "sync", Path: s.Folder, Cause: err}
 	}
 	return nil
