Replicas that stood still put off the next election

While a sync of the disk takes most of an election timeout, callers saw no change accepted for as long as that lasts: a candidate whose vote took that long to save began anew before the others could save and send theirs. After a halt of all controllers for longer than an election timeout, their leader stepped down at its next tick, although all could answer it again: a change that was sent again then waited for an election, too.

A replica that notices at a tick that it stood still (a quarter of the election timeout) sets its election timer anew, once until the timer is set for another reason; a leader does not step down before that time has passed. Leases, and the time in which no vote is given, are untouched. Taking messages before ticks alone was weighed: it helps followers, not candidates and leaders.

TestCutOffLeaderStepsDownAfterItStoodStill passes before and now.

--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -40,6 +40,9 @@
 // driftDivisor is the divisor for the part of a lease that is deducted for clocks that run at different rates: 1/50.
 const driftDivisor = 50
 
+// lateDivisor is the divisor for the part of the election timeout after which a replica that did not tick stood still.
+const lateDivisor = 4
+
 // memberID distinguishes the disks of one replica name.
 type memberID struct {
 	name        string
@@ -82,8 +85,12 @@
 	peers     map[memberID]*progress
 	joiners   map[memberID]*wire.Member
 
+	// electionAt is when a replica without a leader begins an election, and when a leader that stood still may step down.
 	electionAt  time.Time
 	heartbeatAt time.Time
+	// tickedAt is when Tick last ran. delayed is set once electionAt has been put off because the replica stood still.
+	tickedAt time.Time
+	delayed  bool
 	// noVoteUntil protects the leader's lease: until then this replica votes for nobody else.
 	noVoteUntil time.Time
 	// led is the newest term in which this replica was leader. If that was the newest of all when it restarted, it
@@ -250,6 +257,7 @@
 	if r.suspended {
 		return
 	}
+	r.delayElection(now)
 	if r.role == Leader {
 		r.tickLeader(now)
 		return
@@ -270,6 +278,19 @@
 	r.campaign(now, PreCandidate)
 }
 
+// delayElection puts off the next election after this replica stood still, as it does during a slow sync of its disk: it could
+// not receive what the others sent, nor send what it had to. Otherwise a candidate whose vote is saved slowly would begin
+// anew before the others can answer, and so on. It does so once until the timer is set again, since a replica that is always
+// late has to begin elections, too.
+func (r *Replica) delayElection(now time.Time) {
+	late := !r.tickedAt.IsZero() && now.Sub(r.tickedAt) > r.Timing.Election/lateDivisor
+	r.tickedAt = now
+	if late && !r.delayed && r.isVoter(idOf(r.Self)) {
+		r.resetElectionTimer(now)
+		r.delayed = true
+	}
+}
+
 func (r *Replica) tickLeader(now time.Time) {
 	if r.LeaseDeadline(now).After(now) {
 		r.confirmation.at = now
@@ -279,7 +300,10 @@
 	}
 	// A leader cut off from its quorum can detect this only by its own clock. Without this step it would go on
 	// accepting changes that can never commit, and callers would wait instead of asking another controller.
-	if r.quorumLost(now) {
+	switch lost := r.quorumLost(now); {
+	case !lost:
+		r.delayed = false
+	case !r.delayed || !now.Before(r.electionAt):
 		r.becomeFollower(now, r.term, nil)
 		return
 	}
@@ -425,6 +449,7 @@
 func (r *Replica) resetElectionTimer(now time.Time) {
 	jitter := time.Duration(r.Random.Int64N(int64(r.Timing.Election)))
 	r.electionAt = now.Add(r.Timing.Election + jitter)
+	r.delayed = false
 }
 
 func (r *Replica) send(to *wire.Member, m *wire.Message) {
