A large message whose call broke off is sent once more

After a reset of the connections between controllers, one of them could lag for seconds: the leader counts what is under way as lost only after an election timeout and the time of its transfer at 1 MiB/s, and no answer tells it earlier, as what overtakes large messages says nothing about them. The courier knows at once that the call broke off, so it sends the message once more; a replica that receives it twice ignores the second.

Test: TestLargeMessageIsSentAgainAfterAReset failed before (nothing within 10 s).

--- a/controller/internal/courier/courier.go
+++ b/controller/internal/courier/courier.go
@@ -113,11 +113,15 @@
 	}
 }
 
-// deliver sends a batch in one call. Its messages are not retried here.
+// deliver sends a batch in one call. A large message whose call broke off is sent once more: the replicator takes it for lost
+// only when its transfer could have ended, and does nothing if it receives it twice. Nothing else is retried here.
 func (c *Courier) deliver(ctx context.Context, client wireconnect.ReplicasClient, b batch) error {
 	transfer := time.Duration(b.bytes) * time.Second / transferRate
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+transfer)
 	defer cancel()
 	_, err := client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{Messages: b.messages}))
+	if b.bytes > 0 && connect.CodeOf(err) == connect.CodeUnavailable {
+		_, err = client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{Messages: b.messages}))
+	}
 	return err
 }
--- a/controller/internal/courier/courier_test.go
+++ b/controller/internal/courier/courier_test.go
@@ -37,6 +37,33 @@
 	atOnce int
 	most   int
 	batch  int
+	conns  []net.Conn
+}
+
+// recorder is a listener that records the connections of a receiver.
+type recorder struct {
+	net.Listener
+	receiver *receiver
+}
+
+func (l *recorder) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.receiver.mu.Lock()
+	defer l.receiver.mu.Unlock()
+	l.receiver.conns = append(l.receiver.conns, conn)
+	return conn, nil
+}
+
+// reset breaks all connections off.
+func (r *receiver) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
 }
 
 // Deliver implements wireconnect.ReplicasHandler.
@@ -85,7 +112,7 @@
 	is.NoErr(err)
 	server := &http.Server{Handler: mux, Protocols: &http.Protocols{}, ReadHeaderTimeout: time.Minute}
 	server.Protocols.SetUnencryptedHTTP2(true)
-	go func() { _ = server.Serve(socket) }()
+	go func() { _ = server.Serve(&recorder{socket, r}) }()
 	c := &Courier{Dialer: &dialer.Dialer{}, Logger: log.NewNopLogger()}
 	is.NoErr(c.Start(t.Context(), nil))
 	t.Cleanup(func() {
@@ -154,3 +181,14 @@
 		is.Equal(index, uint64(i))
 	}
 }
+
+// Guards against a controller that lags for seconds after a reset: what is lost of a large message is sent again only when its
+// transfer could have ended.
+func TestLargeMessageIsSentAgainAfterAReset(t *testing.T) {
+	r, courier, address := startReceiver(t)
+	defer close(r.release)
+	courier.Send(address, appendMessage(0, 300<<10))
+	waitFor(t, func() bool { entries, _ := r.received(); return entries == 1 })
+	r.reset()
+	waitFor(t, func() bool { entries, _ := r.received(); return entries == 2 })
+}
