Instances leave a controller without a majority at once, for one of the other side

A controller without a majority now names the controllers that it does not reach, and answers an instance that it does not know without the changes of targets. On a second visit it gets them: there is no majority anywhere then. Starting instances and those that other controllers failed are answered as before. The instance was the other place for it: it could turn to those that a controller did not name, which an older controller names for other reasons.

TestControllerWithoutMajorityIsLeftAtOnce failed before. assertNewsPasses of the tests of unreadable names asks as an instance on its second visit now, as their controller has no majority; what it asserts is unchanged.

--- a/controller/internal/exchanger/exchanger_test.go
+++ b/controller/internal/exchanger/exchanger_test.go
@@ -178,6 +178,28 @@
 	is.New(t).True(!watch(t, x, &wire.WatchRequest{Node: &wire.Node{Name: "e1"}}).GetLinked())
 }
 
+// Guards against instances that lose seconds at controllers without a majority, and send requests to targets that have left:
+// each of these controllers sent all targets first, and named others that it reached, which had no majority either.
+func TestControllerWithoutMajorityIsLeftAtOnce(t *testing.T) {
+	is := is.New(t)
+	x := startExchanger(t, "c1", "c2", "c3", "c4", "c5")
+	is.NoErr(x.Announce(context.Background(), announcement(1, wire.TargetState_TARGET_READY)))
+	now := time.Now()
+	x.mu.Lock()
+	x.gossip.BuildRequest(now, "c2")
+	x.gossip.HandleResponse(now, "c2", &wire.ExchangeResponse{Run: x.gossip.Run, Answerer: 2})
+	x.mu.Unlock()
+	instance := &wire.Node{Name: "e1"}
+
+	response, atOnce := x.buildResponse(now, &wire.WatchRequest{Node: instance, Revision: 1, Version: 1})
+	is.True(atOnce && !response.GetLinked())
+	is.Equal(len(response.GetRecords()), 0)
+	is.Equal(len(response.GetNear()), 3) // c3 to c5, which may have a majority
+
+	response, _ = x.buildResponse(now, &wire.WatchRequest{Node: instance, Run: response.GetRun()})
+	is.Equal(len(response.GetRecords()), 1) // on the next visit, as no other has a majority
+}
+
 // confirmedGroup returns a group of one voter, and a function that sets when its state was confirmed.
 func confirmedGroup() (group consensus, confirm func(at time.Time)) {
 	group = consensus{voters: []string{"c1"}, confirmed: &atomic.Pointer[time.Time]{}}
--- a/controller/internal/exchanger/unreadable_test.go
+++ b/controller/internal/exchanger/unreadable_test.go
@@ -26,7 +26,7 @@
 	_, err := proto.Marshal(request)
 	is.NoErr(err)
 	is.Equal(len(request.GetRecords()), 1)
-	response, fresh := x.buildResponse(time.Now(), &wire.WatchRequest{})
+	response, fresh := x.buildResponse(time.Now(), &wire.WatchRequest{Run: x.gossip.Run})
 	is.True(fresh)
 	_, err = proto.Marshal(response)
 	is.NoErr(err)
--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -73,7 +73,8 @@
 
 // buildResponse builds the response for the current state, and reports whether to send it at once: there are changes
 // that the instance has not seen, it waits for a confirmation of its first plan or, as others failed, for any answer,
-// or it has to turn to another controller.
+// or it has to turn to another controller. One that comes from another controller and has to turn away at once gets no
+// changes of targets.
 func (x *Exchanger) buildResponse(now time.Time, r *wire.WatchRequest) (*wire.WatchResponse, bool) {
 	confirmed := x.Consensus.Confirmed()
 	routing := x.Consensus.Routing()
@@ -88,7 +89,12 @@
 	if r.GetRun() != x.gossip.Run {
 		position, hosted, loaded = gossiper.Position{}, 0, 0
 	}
-	set := x.changesAfter(now, position, r.GetUnpacks())
+	set := &changeSet{changes: &gossiper.Changes{}}
+	// An instance that has to turn to another controller at once would only wait for all targets.
+	passes := !linked && r.GetRun() != x.gossip.Run && !r.GetFailing() && !r.GetNode().GetStarting()
+	if !passes {
+		set = x.changesAfter(now, position, r.GetUnpacks())
+	}
 	out := &wire.WatchResponse{
 		Run: x.gossip.Run, Counter: set.changes.Next.Records, Observed: set.changes.Next.Instances,
 		Partial: set.changes.Partial, Linked: linked, Revision: routing.Revision,
@@ -104,8 +110,10 @@
 		out.Records, out.Seen, out.Whole, out.Losses = changes.Records, changes.Seen, changes.Whole, changes.Losses
 		out.Ratelimits, out.Backoffs = changes.RateLimits, changes.Backoffs
 	}
-	out.Hosts, out.Hosted = x.gossip.HostsSince(r.GetNode().GetRegion(), hosted), x.gossip.HostsCounter()
-	out.Loads, out.Loaded = x.gossip.LoadsSince(loaded)
+	if !passes {
+		out.Hosts, out.Hosted = x.gossip.HostsSince(r.GetNode().GetRegion(), hosted), x.gossip.HostsCounter()
+		out.Loads, out.Loaded = x.gossip.LoadsSince(loaded)
+	}
 	x.listControllers(now, r.GetNode().GetRegion(), out)
 	if routing.Revision > r.GetRevision() {
 		out.Evacuated = routing.Evacuated
@@ -115,7 +123,7 @@
 	}
 	fresh := r.GetFailing() || routing.Revision > r.GetRevision() || !set.changes.Empty() || len(out.Hosts) > 0 ||
 		r.GetNode().GetStarting() && isCurrent(now, confirmed)
-	return out, fresh || !linked && r.GetRun() == x.gossip.Run
+	return out, fresh || passes || !linked && r.GetRun() == x.gossip.Run
 }
 
 // addPlan adds a plan to a response, packed if it is large and the instance unpacks it. The caller holds the lock.
@@ -129,12 +137,17 @@
 	}
 }
 
-// listControllers adds the controllers to a response, and those that are reachable in the region. The caller holds the
-// lock.
+// listControllers adds the controllers to a response, and those that the instance should prefer: the reachable ones in its
+// region. Where this controller lacks a majority, those that it reaches lack it, too, so that the others are preferred. The
+// caller holds the lock.
 func (x *Exchanger) listControllers(now time.Time, region string, out *wire.WatchResponse) {
 	for _, m := range x.Consensus.Routing().Members {
 		out.Controllers = append(out.Controllers, m.GetAddress())
-		if x.gossip.ReachableIn(now, m.GetName(), region) {
+		preferred := x.gossip.ReachableIn(now, m.GetName(), region)
+		if out.GetRun() != 0 && !out.GetLinked() {
+			preferred = !x.gossip.Reachable(now, m.GetName())
+		}
+		if preferred {
 			out.Near = append(out.Near, m.GetAddress())
 		}
 	}
