--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -9,9 +9,11 @@
 	"chervilrail.example/core/prober"
 )
 
-// Conn is an accepted connection whose Close discards nothing that was written: it ends this side only, reads on until
-// the other end closes or the time for it has passed, and closes the socket then. A socket that is closed while bytes
-// are unread, or arrive later, is reset, and what the other end has not received by then is lost.
+// Conn is an accepted connection whose Close discards nothing that was written: it ends this side only, and closes the socket
+// once the other end has closed or the time for it has passed. A socket that is closed while bytes are unread, or arrive
+// later, is reset, and what the other end has not received by then is lost.
+//
+// It also knows which requests have arrived on it, so that a process that leaves answers those and no others.
 type Conn struct {
 	*net.TCPConn
 
