A controller tells whether it is linked in one place

Whether an instance has been here before was compared three times in the answer to a watch call, and the list of preferred controllers derived from the half built answer whether this controller is linked. Both are names now.

--- a/controller/internal/exchanger/watch.go
+++ b/controller/internal/exchanger/watch.go
@@ -86,12 +86,13 @@
 		position.Instances = r.GetObserved()
 	}
 	hosted, loaded := r.GetHosted(), r.GetLoaded()
-	if r.GetRun() != x.gossip.Run {
+	visited := r.GetRun() == x.gossip.Run
+	if !visited {
 		position, hosted, loaded = gossiper.Position{}, 0, 0
 	}
 	set := &changeSet{changes: &gossiper.Changes{}}
 	// An instance that has to turn to another controller at once would only wait for all targets.
-	passes := !linked && r.GetRun() != x.gossip.Run && !r.GetFailing() && !r.GetNode().GetStarting()
+	passes := !linked && !visited && !r.GetFailing() && !r.GetNode().GetStarting()
 	if !passes {
 		set = x.changesAfter(now, position, r.GetUnpacks())
 	}
@@ -114,7 +115,7 @@
 		out.Hosts, out.Hosted = x.gossip.HostsSince(r.GetNode().GetRegion(), hosted), x.gossip.HostsCounter()
 		out.Loads, out.Loaded = x.gossip.LoadsSince(loaded)
 	}
-	x.listControllers(now, r.GetNode().GetRegion(), out)
+	x.listControllers(now, r.GetNode().GetRegion(), linked, out)
 	if routing.Revision > r.GetRevision() {
 		out.Evacuated = routing.Evacuated
 		if routing.Plan.GetVersion() > r.GetVersion() {
@@ -123,7 +124,7 @@
 	}
 	fresh := r.GetFailing() || routing.Revision > r.GetRevision() || !set.changes.Empty() || len(out.Hosts) > 0 ||
 		r.GetNode().GetStarting() && isCurrent(now, confirmed)
-	return out, fresh || passes || !linked && r.GetRun() == x.gossip.Run
+	return out, fresh || passes || !linked && visited
 }
 
 // addPlan adds a plan to a response, packed if it is large and the instance unpacks it. The caller holds the lock.
@@ -138,13 +139,13 @@
 }
 
 // listControllers adds the controllers to a response, and those that the instance should prefer: the reachable ones in its
-// region. Where this controller lacks a majority, those that it reaches lack it, too, so that the others are preferred. The
+// region. Where this controller is not linked, those that it reaches are not either, so that the others are preferred. The
 // caller holds the lock.
-func (x *Exchanger) listControllers(now time.Time, region string, out *wire.WatchResponse) {
+func (x *Exchanger) listControllers(now time.Time, region string, linked bool, out *wire.WatchResponse) {
 	for _, m := range x.Consensus.Routing().Members {
 		out.Controllers = append(out.Controllers, m.GetAddress())
 		preferred := x.gossip.ReachableIn(now, m.GetName(), region)
-		if out.GetRun() != 0 && !out.GetLinked() {
+		if !linked {
 			preferred = !x.gossip.Reachable(now, m.GetName())
 		}
 		if preferred {
@@ -162,7 +163,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	out := &wire.WatchResponse{}
-	x.listControllers(time.Now(), region, out)
+	x.listControllers(time.Now(), region, true, out)
 	if len(out.GetNear()) == 0 {
 		return nil
 	}
