--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -100,9 +100,9 @@
 	// labelledPlan is the plan from which the organisations with a label in the metrics were chosen.
 	labelledPlan *wire.Plan
 	stopping     atomic.Bool
-	// endAt is when requests that have begun since Leave end at the latest; nil before.
-	endAt   atomic.Pointer[time.Time]
-	running atomic.Int64
+	// departure is set by Leave; nil before.
+	departure atomic.Pointer[departure]
+	running   atomic.Int64
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
@@ -144,9 +144,10 @@
 // Leave tells that the process leaves, and that connections are cut at a given time. Requests that begin from now on get a
 // final answer before it: those that can't be served by then are refused at once.
 func (c *Carrier) Leave(cutAt time.Time) {
-	endAt := cutAt.Add(-2 * answerMargin)
-	c.endAt.Store(&endAt)
+	d := &departure{beganAt: time.Now(), endAt: cutAt.Add(-2 * answerMargin)}
+	c.departure.Store(d)
 	c.stopping.Store(true)
+	_ = level.Info(c.Logger).Log("msg", "requests end with the stop", "running", c.running.Load(), "left", time.Until(d.endAt))
 }
 
 // Health implements kernel.Service.
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -46,6 +46,8 @@
 	// quota is the verdict of the organisation's quota.
 	quota       quoter.Verdict
 	deadline    time.Time
+	// departure is that of the process if it left when the request began; nil otherwise.
+	departure *departure
 	body        *bounder.Body
 	fingerprint quarantiner.Fingerprint
 	// target and region are those of the last attempt; sends counts the attempts that may have reached a target.
@@ -98,21 +100,6 @@
 	return nil
 }
 
-// limitByStop ends a request before the connections of a process that leaves are cut. It is refused if the time until then
-// is shorter than a run takes.
-func (c *Carrier) limitByStop(j *job) *result {
-	endAt := c.endAt.Load()
-	if endAt == nil || j.deadline.Before(*endAt) {
-		return nil
-	}
-	if warm, _ := c.routes.expected(j.route); !time.Now().Add(warm).Before(*endAt) {
-		out := refuse(http.StatusServiceUnavailable, "leaving", time.Now().Add(failedRetryDelay))
-		return &out
-	}
-	j.deadline = *endAt
-	return nil
-}
-
 // readBody reads the request's body whole, until the request's deadline at the latest.
 func (c *Carrier) readBody(w http.ResponseWriter, j *job) *result {
 	if j.request.ContentLength == 0 {
--- a/entry/internal/cli/leaver.go
+++ b/entry/internal/cli/leaver.go
@@ -47,10 +47,11 @@
 	l.leaving.Store(true)
 	l.caller.Leave()
 	if deadline, ok := ctx.Deadline(); ok {
-		l.carrier.Leave(deadline.Add(-closeReserve))
+		cutAt := deadline.Add(-closeReserve)
+		l.carrier.Leave(cutAt)
+		_ = level.Info(l.logger).Log("msg", "leaving", "serve", l.serveTime, "cut", time.Until(cutAt))
 	}
 	l.watcher.Leave()
-	_ = level.Info(l.logger).Log("msg", "leaving", "serve", l.serveTime)
 	select {
 	case <-time.After(l.serveTime):
 	case <-ctx.Done():
