--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -103,8 +103,8 @@
 	// departure is set by Leave; nil before.
 	departure atomic.Pointer[departure]
 	running   atomic.Int64
-	cancel  context.CancelFunc
-	done    chan struct{}
+	cancel    context.CancelFunc
+	done      chan struct{}
 }
 
 // Name implements kernel.Service.
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -44,10 +44,10 @@
 	// regions are those that may serve it by its route and organisation; empty allows all.
 	regions []string
 	// quota is the verdict of the organisation's quota.
-	quota       quoter.Verdict
-	deadline    time.Time
+	quota    quoter.Verdict
+	deadline time.Time
 	// departure is that of the process if it left when the request began; nil otherwise.
-	departure *departure
+	departure   *departure
 	body        *bounder.Body
 	fingerprint quarantiner.Fingerprint
 	// target and region are those of the last attempt; sends counts the attempts that may have reached a target.
