--- a/standin/internal/starter/routed.go
+++ b/standin/internal/starter/routed.go
@@ -1,9 +1,11 @@
 package starter
 
 import (
+	"cmp"
 	"fmt"
 	"path/filepath"
 	"strings"
+	"time"
 )
 
 // Ports used with the protocol of the users' platform.
@@ -12,12 +14,17 @@
 	PlatformPort = 7002
 	readyPort    = 8004
 	seedCount    = 3
+	defaultGrace = 6 * time.Second
 )
 
 // PlatformSystem is a System with the protocol of the users' platform: its controller group is founded by seed
 // controllers, and its entry instances route requests according to a plan.
 type PlatformSystem struct {
 	*System
+	// Grace is the time from SIGTERM to the kill in the settings of all processes; zero stands for defaultGrace. Timing are
+	// further lines of the section [timing] of entry instances.
+	Grace  time.Duration
+	Timing string
 	// Seeds are the platform addresses of the seed controllers, set by StartPlatformSystem.
 	Seeds []string
 }
@@ -71,9 +78,9 @@
 heartbeat = 100ms
 replace = 2s
 lease = 4s
-grace = 6s
+grace = %s
 `, place.Region, place.Zone, s.DataFolder(i), address, ControlPort, address, OperatorPort, address, PlatformPort,
-		strings.Join(s.Seeds, ", "), found, s.zones()))
+		strings.Join(s.Seeds, ", "), found, s.zones(), s.grace()))
 	if err != nil {
 		return err
 	}
@@ -85,6 +92,8 @@
 	return nil
 }
 
+func (s *PlatformSystem) grace() time.Duration { return cmp.Or(s.Grace, defaultGrace) }
+
 func (s *PlatformSystem) zones() string {
 	out := ""
 	for _, p := range s.Places {
@@ -120,10 +129,10 @@
 limit = %d
 
 [timing]
-grace = 6s
-`, name, place.Region, place.Zone, address, CallerPort, address, readyPort, address, PeerPort, address,
+grace = %s
+%s`, name, place.Region, place.Zone, address, CallerPort, address, readyPort, address, PeerPort, address,
 		MetricsPort,
-		strings.Join(s.Seeds, ", "), ControlPort, EntryMemory))
+		strings.Join(s.Seeds, ", "), ControlPort, EntryMemory, s.grace(), s.Timing))
 	if err != nil {
 		return err
 	}
--- a/standin/internal/starter/starter.go
+++ b/standin/internal/starter/starter.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -129,8 +130,25 @@
 	targetNet     = 3
 )
 
+const (
+	// subnetVariable names the environment variable with a number from 0 to maxSubnet. Systems with different numbers have
+	// different addresses, so that the tests of several checkouts can run at the same time.
+	subnetVariable = "CHERVILRAIL_SUBNET"
+	maxSubnet      = 63
+	// subnetKinds is the number of networks in a subnet.
+	subnetKinds = 4
+)
+
+var subnet = sync.OnceValue(func() byte {
+	n, err := strconv.Atoi(os.Getenv(subnetVariable))
+	if err != nil || n < 0 || n > maxSubnet {
+		return 0
+	}
+	return byte(n)
+})
+
 func (s *System) address(kind byte, i int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, s.Net, kind, byte(i + 1)})
+	return netip.AddrFrom4([4]byte{127, s.Net, subnetKinds*subnet() + kind, byte(i + 1)})
 }
 
 // Start starts a program and appends its output to the log file name.log in Folder.
--- a/standin/internal/trials/platform_test.go
+++ b/standin/internal/trials/platform_test.go
@@ -38,8 +38,15 @@
 // startFleetWith is startFleet with a function that prepares each target.
 func startFleetWith(t *testing.T, controllers, entries, targets int, prepareTarget func(o *speaker.Target)) *fleet {
 	t.Helper()
-	is := is.New(t)
 	f := &fleet{PlatformSystem: &starter.PlatformSystem{System: prepare(t)}, objects: 7}
+	f.start(t, controllers, entries, targets, prepareTarget)
+	return f
+}
+
+// start starts a fleet whose settings are complete.
+func (f *fleet) start(t *testing.T, controllers, entries, targets int, prepareTarget func(o *speaker.Target)) {
+	t.Helper()
+	is := is.New(t)
 	is.NoErr(f.StartPlatformSystem(controllers, entries))
 	f.operator = &speaker.Operator{Controllers: f.PlatformURLs()}
 	for i := range targets {
@@ -66,7 +73,6 @@
 	until(t, "a request is served", func() bool {
 		return f.client(0).Send(context.Background(), http.MethodGet, "/safe/1", "k", "").Complete
 	})
-	return f
 }
 
 func (f *fleet) client(i int) *speaker.Client {
