A process that leaves takes only what can't outlast its stop

Callers saw 504, or a closed connection, for requests that a leaving instance had taken after SIGTERM and broke off at their targets: they may have run, so a POST may not be repeated, though any other instance would have served it.

Cause: a leaving instance took what it expected to end in time; work varies around what is expected, and limits change. And the times of a stop were worked out in six places, partly fixed: with a grace of 1 s connections were cut after 0.3 s.

Change: package stopper works out all deadlines of a stop, once, from the grace; the kernel passes them to the services. From SIGTERM on a request goes to a target only if its limit ends before the last answers are due; others are refused at once as not run, also those that wait, upload or would be tried again. What is at a target ends with 504 then, before connections are cut; those that had begun before SIGTERM were cut without an answer. The grace counts from the signal, also while services still start.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -36,6 +36,7 @@
 	"chervilrail.example/core/replicator"
 	"chervilrail.example/core/reporter"
 	"chervilrail.example/core/securer"
+	"chervilrail.example/core/stopper"
 	"chervilrail.example/core/storer"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/platform/translator"
@@ -178,7 +179,8 @@
 	operator := handlers.Operator()
 	closing := &closer.Closer{Logger: logs, Metrics: closer.NewMetrics(registry)}
 	k := &kernel.Kernel{
-		Logger: logs, StopTimeout: settings.StopTimeout, MemoryLimit: settings.MemoryLimit, Fatal: fatal,
+		Logger: logs, Stopper: stopper.Stopper{Timeout: settings.StopTimeout, Reserve: stopReserve},
+		MemoryLimit: settings.MemoryLimit, Fatal: fatal,
 	}
 	registry.MustRegister(&server.Collector{Summary: consensus.Summary}, work)
 	reporter.Mount(operator, registry, k)
@@ -189,7 +191,7 @@
 		exchange,
 		&listener.Listener{
 			ServiceName: "control", Address: settings.Control, Handler: handlers.Control(), Keys: controlKeys, Logger: logs,
-			Closer: closing, Reserve: stopReserve,
+			Closer: closing,
 		},
 		&listener.Listener{
 			ServiceName: "operator",
@@ -198,7 +200,6 @@
 			Keys:        &securer.Keys{Files: settings.OperatorKeys},
 			Logger:      logs,
 			Closer:      closing,
-			Reserve:     stopReserve,
 		},
 	}
 	k.Services = append(k.Services, work)
@@ -247,7 +248,7 @@
 		if address.IsValid() {
 			l := &listener.Listener{
 				ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger,
-				Closer: closing, Bound: bound, Reserve: stopReserve,
+				Closer: closing, Bound: bound,
 			}
 			listeners = append(listeners, l)
 			out = append(out, l)
--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -8,10 +8,10 @@
 	"strings"
 	"time"
 
-	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/parser"
 	"chervilrail.example/core/quoter"
 	"chervilrail.example/core/securer"
+	"chervilrail.example/core/stopper"
 )
 
 const (
@@ -22,8 +22,9 @@
 	defaultStopTimeout  = 10 * time.Second
 	minElection         = 50 * time.Millisecond
 	maxElection         = time.Minute
-	// minGrace is the shortest grace period.
+	// minGrace and maxGrace bound the grace period.
 	minGrace       = time.Second
+	maxGrace       = 24 * time.Hour
 	maxControllers = 8
 	// defaultMaxVoters is the number of voters with which two may fail at once. Each further pair costs two more
 	// messages per change.
@@ -181,11 +182,11 @@
 	c.ReplaceAfter = d.Duration(s, "replace", defaultReplaceAfter, minElection, time.Hour)
 	c.Lease = d.Duration(s, "lease", defaultLease, minElection, maxElection)
 	patience := defaultStopTimeout
-	grace := d.Duration(s, "grace", 0, minGrace, time.Hour)
+	grace := d.Duration(s, "grace", 0, minGrace, maxGrace)
 	if grace > 0 {
-		patience = kernel.StopTimeoutFor(grace)
+		patience = stopper.TimeoutFor(grace)
 	}
-	c.StopTimeout = d.Duration(s, "patience", patience, time.Second, time.Hour)
+	c.StopTimeout = d.Duration(s, "patience", patience, time.Second, maxGrace)
 	if grace > 0 && c.StopTimeout >= grace {
 		d.Fault(s, "patience", "less than grace", c.StopTimeout.String())
 	}
--- a/core/closer/closer.go
+++ b/core/closer/closer.go
@@ -13,6 +13,7 @@
 
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/prober"
+	"chervilrail.example/core/stopper"
 )
 
 const (
@@ -21,8 +22,6 @@
 	// maxDraining limits the connections that are drained at the same time while the process serves. They take
 	// descriptors, and callers that never close would take them all.
 	maxDraining = 1024
-	// stopMargin is the part of the time for a planned stop that is left for the end of the process.
-	stopMargin = 50 * time.Millisecond
 	// pollInterval is how often Stop looks whether all connections are closed.
 	pollInterval = 5 * time.Millisecond
 )
@@ -99,11 +98,8 @@
 // Stop waits until the other ends have closed their sides of all connections. Those that have not shortly before ctx ends
 // are closed.
 func (c *Closer) Stop(ctx context.Context) error {
-	if deadline, ok := ctx.Deadline(); ok {
-		limited, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
-		defer cancel()
-		ctx = limited
-	}
+	ctx, cancel := context.WithDeadline(ctx, stopper.FromContext(ctx).Close)
+	defer cancel()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for c.count() > 0 {
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -7,10 +7,13 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"chervilrail.example/core/stopper"
 )
 
 // Service is a part of a program that is started and stopped with it.
@@ -34,23 +37,18 @@
 type Kernel struct {
 	Logger   log.Logger
 	Services []Service
-	// StopTimeout is how long all services together may take to stop.
-	StopTimeout time.Duration
+	// Stopper tells when services have to stop. Their contexts carry its deadlines.
+	Stopper stopper.Stopper
 	// MemoryLimit is how much memory the process may use, in bytes; zero sets no limit.
 	MemoryLimit int64
 	// Fatal receives the error of a service that can't continue; Run then stops all services and returns the error.
 	Fatal chan error
 
 	started []Service
+	// told is when Run was told to stop: signals may come while services still start.
+	told atomic.Pointer[time.Time]
 }
 
-// stopMargin is the time between the time-out of a planned stop and the end of the grace period: the process still has to
-// end, and on a busy machine both the signal and the end come late.
-const stopMargin = 500 * time.Millisecond
-
-// StopTimeoutFor returns the time-out of a planned stop for a grace period, the time from the request to stop to the kill.
-func StopTimeoutFor(grace time.Duration) time.Duration { return grace - stopMargin }
-
 // memoryShare is the part of the memory limit that is set as the Go runtime's soft limit, above which the garbage
 // collector works harder. The rest is for stacks, kernel buffers and memory that is freed late.
 const memoryShare = 0.6
@@ -71,6 +69,11 @@
 	if k.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(k.MemoryLimit) * memoryShare))
 	}
+	forget := context.AfterFunc(ctx, func() {
+		now := time.Now()
+		k.told.Store(&now)
+	})
+	defer forget()
 	err := k.start(ctx)
 	if err == nil {
 		err = k.wait(ctx)
@@ -80,6 +83,9 @@
 
 func (k *Kernel) start(ctx context.Context) error {
 	for _, s := range k.Services {
+		if told(ctx) {
+			return nil
+		}
 		_ = level.Debug(k.Logger).Log("msg", "starting", "service", s.Name())
 		if err := s.Start(ctx, k); err != nil {
 			return &ServiceError{Service: s.Name(), Action: "start", Cause: err}
@@ -90,6 +96,9 @@
 	return nil
 }
 
+// told reports whether the process was told to stop.
+func told(ctx context.Context) bool { return ctx.Err() != nil }
+
 func (k *Kernel) wait(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -100,8 +109,15 @@
 }
 
 func (k *Kernel) stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), k.StopTimeout)
+	began := time.Now()
+	if told := k.told.Load(); told != nil {
+		began = *told
+	}
+	d := k.Stopper.From(began)
+	ctx, cancel := stopper.NewContext(context.Background(), d)
 	defer cancel()
+	_ = level.Info(k.Logger).Log("msg", "stopping", "services", len(k.started), "serve", time.Until(d.Serve),
+		"end", time.Until(d.End), "cut", time.Until(d.Cut), "exit", time.Until(d.Exit))
 	var failures error
 	for i := len(k.started) - 1; i >= 0; i-- {
 		s := k.started[i]
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -20,6 +20,7 @@
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/prober"
 	"chervilrail.example/core/securer"
+	"chervilrail.example/core/stopper"
 )
 
 const (
@@ -42,8 +43,6 @@
 	Bound *Bound
 	// Closer closes the connections. It has to stop after the listener; nil stands for one that stops with it.
 	Closer *closer.Closer
-	// Reserve is how much of the time for a planned stop is left for the services that stop after this one.
-	Reserve time.Duration
 
 	server *http.Server
 	socket *closer.Socket
@@ -214,7 +213,7 @@
 const unusedGrace = 100 * time.Millisecond
 
 // Stop implements kernel.Service: it refuses new connections and waits for the requests in progress and those that have
-// arrived. It cuts those that have not ended at the deadline of ctx less Reserve, and returns a CutError.
+// arrived. It cuts those that have not ended at the deadline Cut of the stop, and returns a CutError.
 func (l *Listener) Stop(ctx context.Context) error {
 	if l.server == nil {
 		return nil
@@ -222,12 +221,8 @@
 	if l.ownCloser {
 		defer func() { _ = l.Closer.Stop(ctx) }() // always returns nil
 	}
-	limited := ctx
-	if deadline, ok := ctx.Deadline(); ok {
-		earlier, cancel := context.WithDeadline(ctx, deadline.Add(-l.Reserve))
-		defer cancel()
-		limited = earlier
-	}
+	limited, cancel := context.WithDeadline(ctx, stopper.FromContext(ctx).Cut)
+	defer cancel()
 	l.Leave()
 	l.stopping.Store(true)
 	_ = l.socket.Close()
--- a/entry/internal/carrier/answer.go
+++ b/entry/internal/carrier/answer.go
@@ -91,5 +91,5 @@
 		"by", j.place.Reason, "located", j.locateTime,
 		"version", version, "target", j.target, "region", j.region, "sends", j.sends, "status", out.status,
 		"reason", out.reason, "waited", j.queueTime, "took", took, "left", time.Until(j.deadline), "load", j.load,
-		"limit", j.limit, "leaving", j.departure.age(j.started))
+		"limit", j.limit, "leaving", j.leaving)
 }
--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -41,11 +41,14 @@
 	var tried []string
 	worst := unsent
 	for {
-		decision, present := svc.admit(j.request.Context(), c.ticket(j, svc, tried))
+		decision, present := c.admit(j, svc, tried)
 		j.queueTime = time.Since(j.started)
-		if !present {
+		if !present && j.request.Context().Err() != nil {
 			return callerDisconnected(), worst
 		}
+		if !present {
+			return c.failure(j, worst), worst
+		}
 		if decision.Target == nil && worst != unknown {
 			return refuse(http.StatusServiceUnavailable, decision.Reason, decision.Retry), worst
 		}
@@ -69,6 +72,17 @@
 	}
 }
 
+// admit waits for the decision to which target a request is sent; false means that it is not sent, as its caller has
+// disconnected or as it may outlast the stop of the process.
+func (c *Carrier) admit(j *job, svc *serviceState, tried []string) (placer.Decision, bool) {
+	if !c.departure.admits(j.deadline) {
+		return placer.Decision{}, false
+	}
+	ctx, cancel := c.departure.admission(j.request.Context(), j.deadline)
+	defer cancel()
+	return svc.admit(ctx, c.ticket(j, svc, tried))
+}
+
 func (c *Carrier) ticket(j *job, svc *serviceState, tried []string) *placer.Ticket {
 	warm, cold := c.routes.expected(j.route)
 	j.place = c.locate(j, svc, cold)
@@ -123,7 +137,7 @@
 // budget, because all instances together may repeat only a fraction of their requests.
 func (c *Carrier) mayRetry(j *job, svc *serviceState, state attemptState) bool {
 	now := time.Now()
-	if !now.Before(j.deadline) || j.request.Context().Err() != nil {
+	if !now.Before(j.deadline) || j.request.Context().Err() != nil || !c.departure.admits(j.deadline) {
 		return false
 	}
 	switch state {
@@ -148,7 +162,7 @@
 	}
 	j.target, j.region = target.Name, target.Region
 	start := time.Now()
-	ctx, cancel := j.context()
+	ctx, cancel := c.attemptContext(j)
 	defer cancel()
 	warm, cold := c.routes.expected(j.route)
 	running := c.overdue.begin(start, target.Name, warm, cold)
@@ -198,15 +212,20 @@
 	return out
 }
 
-// context returns the context of an attempt, which ends answerMargin after the request's deadline. An idempotent
-// request is cancelled when its caller disconnects; any other continues, because cancelling it halfway would leave the
-// caller uncertain whether, for example, a booking was made.
-func (j *job) context() (context.Context, context.CancelFunc) {
-	ctx := j.request.Context()
+// attemptContext returns the context of an attempt, which ends answerMargin after the request's deadline, and when the last
+// answers are due in a planned stop. An idempotent request is cancelled when its caller disconnects; any other continues,
+// because cancelling it halfway would leave the caller uncertain whether, for example, a booking was made.
+func (c *Carrier) attemptContext(j *job) (context.Context, context.CancelFunc) {
+	parent := j.request.Context()
 	if !j.route.GetIdempotent() {
-		ctx = context.WithoutCancel(ctx)
+		parent = context.WithoutCancel(parent)
+	}
+	leaving, leave := c.departure.attempt(parent)
+	ctx, cancel := context.WithDeadline(leaving, j.deadline.Add(answerMargin))
+	return ctx, func() {
+		cancel()
+		leave()
 	}
-	return context.WithDeadline(ctx, j.deadline.Add(answerMargin))
 }
 
 func (c *Carrier) outgoing(j *job, svc *serviceState, decision placer.Decision, now time.Time) *pooler.Request {
@@ -315,11 +334,17 @@
 // failure returns the final result of a request that no target answered.
 func (c *Carrier) failure(j *job, state attemptState) result {
 	now := time.Now()
+	if state != unknown && !c.departure.admits(j.deadline) {
+		return *c.refuseLeaving(j)
+	}
 	if state != unknown {
 		return refuse(http.StatusServiceUnavailable, "failed", now.Add(failedRetryDelay))
 	}
 	if !now.Before(j.deadline) {
 		return refuse(http.StatusGatewayTimeout, "timeout", time.Time{})
 	}
+	if c.departure.ended.Err() != nil {
+		return refuse(http.StatusGatewayTimeout, "leaving", time.Time{})
+	}
 	return refuse(http.StatusBadGateway, "broken", time.Time{})
 }
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -100,11 +100,10 @@
 	// labelledPlan is the plan from which the organisations with a label in the metrics were chosen.
 	labelledPlan *wire.Plan
 	stopping     atomic.Bool
-	// departure is set by Leave; nil before.
-	departure atomic.Pointer[departure]
-	running   atomic.Int64
-	cancel    context.CancelFunc
-	done      chan struct{}
+	departure    *departure
+	running      atomic.Int64
+	cancel       context.CancelFunc
+	done         chan struct{}
 }
 
 // Name implements kernel.Service.
@@ -113,6 +112,7 @@
 // Start starts the periodic maintenance of queued and overdue requests.
 func (c *Carrier) Start(context.Context, kernel.Finder) error {
 	c.services = map[string]*serviceState{}
+	c.departure = newDeparture()
 	c.done = make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
@@ -141,15 +141,6 @@
 	return nil
 }
 
-// Leave tells that the process leaves, and that connections are cut at a given time. Requests that begin from now on get a
-// final answer before it: those that can't be served by then are refused at once.
-func (c *Carrier) Leave(cutAt time.Time) {
-	d := &departure{beganAt: time.Now(), endAt: cutAt.Add(-2 * answerMargin)}
-	c.departure.Store(d)
-	c.stopping.Store(true)
-	_ = level.Info(c.Logger).Log("msg", "requests end with the stop", "running", c.running.Load(), "left", time.Until(d.endAt))
-}
-
 // Health implements kernel.Service.
 func (c *Carrier) Health() error {
 	if c.stopping.Load() {
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -46,8 +47,8 @@
 	// quota is the verdict of the organisation's quota.
 	quota    quoter.Verdict
 	deadline time.Time
-	// departure is that of the process if it left when the request began; nil otherwise.
-	departure   *departure
+	// leaving is how long the process had been leaving when the request began.
+	leaving     time.Duration
 	body        *bounder.Body
 	fingerprint quarantiner.Fingerprint
 	// target and region are those of the last attempt; sends counts the attempts that may have reached a target.
@@ -89,8 +90,9 @@
 	if !call.Deadline.IsZero() && call.Deadline.Before(j.deadline) {
 		j.deadline = call.Deadline
 	}
-	if out := c.limitByStop(j); out != nil {
-		return out
+	j.leaving = c.departure.age(j.started)
+	if !c.departure.admits(j.deadline) {
+		return c.refuseLeaving(j)
 	}
 	if out := c.readBody(w, j); out != nil {
 		return out
@@ -109,18 +111,40 @@
 	if planLimit := j.view.Table.Plan.GetLimits().GetBody(); planLimit > 0 {
 		limit = min(limit, planLimit)
 	}
-	connection := http.NewResponseController(w)
-	_ = connection.SetReadDeadline(j.deadline) // without one, the caller's own deadline ends the transfer
+	ctx, cancel := c.departure.admission(j.request.Context(), j.deadline)
+	defer cancel()
+	limited := limitReads(ctx, w, j.deadline) // without a limit, the caller's own deadline ends the transfer
 	body, err := c.Bodies.Read(j.request.Body, j.request.ContentLength, limit)
-	_ = connection.SetReadDeadline(time.Time{})
+	limited()
 	j.body = body
 	if err == nil {
 		return nil
 	}
+	if leavingEnds(ctx) {
+		return c.refuseLeaving(j)
+	}
 	out := refuseBody(err)
 	return &out
 }
 
+// limitReads ends reads from a caller's connection at a deadline, or when ctx ends, until the function that it returns is
+// called.
+func limitReads(ctx context.Context, w http.ResponseWriter, deadline time.Time) func() {
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(deadline)
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = connection.SetReadDeadline(time.Unix(1, 0))
+		close(ended)
+	})
+	return func() {
+		if !stop() {
+			<-ended
+		}
+		_ = connection.SetReadDeadline(time.Time{})
+	}
+}
+
 // refuseBody returns the result for a request whose body could not be read.
 func refuseBody(err error) result {
 	var tooLarge *bounder.TooLargeError
--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -24,6 +24,7 @@
 	"chervilrail.example/core/reloader"
 	"chervilrail.example/core/reporter"
 	"chervilrail.example/core/securer"
+	"chervilrail.example/core/stopper"
 	"chervilrail.example/entry/internal/announcer"
 	"chervilrail.example/entry/internal/broadcaster"
 	"chervilrail.example/entry/internal/config"
@@ -155,7 +156,7 @@
 
 // kernel lists the services in the order of their start; they stop in reverse.
 func (p *program) kernel() *kernel.Kernel {
-	k := &kernel.Kernel{Logger: p.logger, StopTimeout: p.settings.StopTimeout, Fatal: make(chan error, 1)}
+	k := &kernel.Kernel{Logger: p.logger, Stopper: stopOf(p.settings), Fatal: make(chan error, 1)}
 	operator := http.NewServeMux()
 	reporter.Mount(operator, p.registry, k)
 	caller := p.newListener("caller", p.callerHandler())
@@ -182,6 +183,11 @@
 	return k
 }
 
+// stopOf returns what the deadlines of a planned stop are worked out from.
+func stopOf(settings *config.Config) stopper.Stopper {
+	return stopper.Stopper{Timeout: settings.StopTimeout, Serve: settings.AnswerMaxAge, Reserve: closeReserve}
+}
+
 // reload checks the settings file; changes take effect at the next start.
 func (p *program) reload() error {
 	_, err := config.Load(p.path)
@@ -189,7 +195,7 @@
 }
 
 func (p *program) newListener(title string, handler http.Handler) *listener.Listener {
-	l := &listener.Listener{ServiceName: title, Handler: handler, Logger: p.logger, Closer: p.closer, Reserve: closeReserve}
+	l := &listener.Listener{ServiceName: title, Handler: handler, Logger: p.logger, Closer: p.closer}
 	switch title {
 	case "peer":
 		l.Address, l.Keys = p.settings.Peer, p.controlKeys
--- a/entry/internal/cli/leaver.go
+++ b/entry/internal/cli/leaver.go
@@ -10,6 +10,7 @@
 
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/listener"
+	"chervilrail.example/core/stopper"
 	"chervilrail.example/entry/internal/carrier"
 	"chervilrail.example/entry/internal/watcher"
 )
@@ -21,10 +22,8 @@
 	watcher *watcher.Watcher
 	carrier *carrier.Carrier
 	caller  *listener.Listener
-	// serveTime is how long requests are still served after the instance has reported that it leaves.
-	serveTime time.Duration
-	logger    log.Logger
-	leaving   atomic.Bool
+	logger  log.Logger
+	leaving atomic.Bool
 }
 
 // Name implements kernel.Service.
@@ -42,18 +41,16 @@
 }
 
 // Stop removes the instance from the look-ups and asks callers, with each answer, to open their next connection
-// elsewhere. It returns after serveTime, or when ctx ends.
+// elsewhere. It returns at the deadline Serve of the stop.
 func (l *leaver) Stop(ctx context.Context) error {
+	d := stopper.FromContext(ctx)
 	l.leaving.Store(true)
 	l.caller.Leave()
-	if deadline, ok := ctx.Deadline(); ok {
-		cutAt := deadline.Add(-closeReserve)
-		l.carrier.Leave(cutAt)
-		_ = level.Info(l.logger).Log("msg", "leaving", "serve", l.serveTime, "cut", time.Until(cutAt))
-	}
+	l.carrier.Leave(d)
 	l.watcher.Leave()
+	_ = level.Info(l.logger).Log("msg", "leaving", "serve", time.Until(d.Serve))
 	select {
-	case <-time.After(l.serveTime):
+	case <-time.After(time.Until(d.Serve)):
 	case <-ctx.Done():
 	}
 	return nil
--- a/entry/internal/cli/plan.go
+++ b/entry/internal/cli/plan.go
@@ -96,7 +96,7 @@
 	p.watcher.OnBackoffs = p.carrier.UpdateBackoffs
 	p.closer = &closer.Closer{Logger: p.logger, Metrics: closer.NewMetrics(p.registry)}
 	p.caller = p.newListener("caller", settings.Caller, p.carrier)
-	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, caller: p.caller, serveTime: settings.AnswerMaxAge, logger: p.logger}
+	p.leaver = &leaver{watcher: p.watcher, carrier: p.carrier, caller: p.caller, logger: p.logger}
 	return p
 }
 
@@ -132,7 +132,7 @@
 // kernel lists the services in the order of their start; they stop in reverse.
 func (p *planProgram) kernel() *kernel.Kernel {
 	k := &kernel.Kernel{
-		Logger: p.logger, StopTimeout: p.settings.StopTimeout, MemoryLimit: p.settings.MemoryLimit,
+		Logger: p.logger, Stopper: stopOf(p.settings), MemoryLimit: p.settings.MemoryLimit,
 		Fatal: make(chan error, 1),
 	}
 	operator := http.NewServeMux()
@@ -158,7 +158,7 @@
 
 func (p *planProgram) newListener(title string, address netip.AddrPort, handler http.Handler) *listener.Listener {
 	return &listener.Listener{
-		ServiceName: title, Address: address, Handler: handler, Logger: p.logger, Closer: p.closer, Reserve: closeReserve,
+		ServiceName: title, Address: address, Handler: handler, Logger: p.logger, Closer: p.closer,
 	}
 }
 
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
-	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/parser"
 	"chervilrail.example/core/securer"
+	"chervilrail.example/core/stopper"
 )
 
 const (
@@ -20,10 +20,7 @@
 	// minGrace and maxGrace bound the grace period.
 	minGrace = time.Second
 	maxGrace = 24 * time.Hour
-	// graceDivisor is the part of the grace period, one in so many, after which no new request may begin: the rest is for
-	// those that have begun by then.
-	graceDivisor = 2
-	maxPort      = 1<<16 - 1
+	maxPort  = 1<<16 - 1
 )
 
 // Config is an entry instance's checked settings.
@@ -148,8 +145,7 @@
 	answer, patience := defaultAnswerMaxAge, defaultStopTimeout
 	grace := d.Duration(s, "grace", 0, minGrace, maxGrace)
 	if grace > 0 {
-		patience = kernel.StopTimeoutFor(grace)
-		answer = min(defaultAnswerMaxAge, patience-grace/graceDivisor)
+		patience, answer = stopper.TimeoutFor(grace), stopper.ServeFor(grace)
 	}
 	c.AnswerMaxAge = d.Duration(s, "answer", answer, time.Second, time.Hour)
 	c.StopTimeout = d.Duration(s, "patience", patience, time.Second, maxGrace)
