A request is asked for just before it is sent whether the stop still admits it

Callers saw 504 at the end of the stop for requests that were sent to targets after SIGTERM.

Cause: the question was asked before a connection was opened. Now Withhold asks it too: the request is withdrawn from its target and refused as not run.

Evidence: TestRequestThatWaitsForAConnectionIsNotSentOnceItsInstanceLeaves failed 3 of 3 runs and holds 10 of 10; the package's tests hold.

--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -242,11 +242,20 @@
 		Host:     j.request.Host,
 		Header:   header,
 		Body:     j.payload(),
-		Withhold: func() string { return svc.withhold(decision.Target) },
+		Withhold: func() string { return c.withhold(j, svc, decision.Target) },
 		Matches:  func(h http.Header) bool { return c.Codec.Reply(http.StatusOK, h, now).ID == j.call.ID },
 	}
 }
 
+// withhold reports why a request must not be sent to the target that was chosen for it, empty if it may: the process may
+// have begun to leave, or the target to drain, while a connection was opened.
+func (c *Carrier) withhold(j *job, svc *serviceState, t *placer.Target) string {
+	if !c.departure.admits(j.deadline) {
+		return "leaving"
+	}
+	return svc.withhold(t)
+}
+
 // classify returns the result and the state of an attempt from its answer.
 func (c *Carrier) classify(
 	j *job, a *pooler.Answer, reply messenger.Reply, sendOutcome pooler.Outcome,
