A request that waits for its object's place is refused late when its instance leaves: failing test

Callers that could be served elsewhere at once wait for their refusal, up to two calls to other instances long.

Cause: finding the place of an object waits with the context of the caller's request, which doesn't end when the process leaves. What was decided on its end was sent at once, as a target that is free is given without a look at the context; now it is withheld, but a connection is opened for it first.

--- a/entry/internal/carrier/moment_test.go
+++ b/entry/internal/carrier/moment_test.go
@@ -1,10 +1,16 @@
 package carrier
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"chervilrail.example/core/placer"
+	"chervilrail.example/entry/internal/locator"
 )
 
 // Guards against a request that waits for a connection to its target when its instance leaves, and is sent then, though it
@@ -20,3 +26,46 @@
 		})
 	}
 }
+
+// slowLocator is a Locator whose calls last until their contexts end, or for a time.
+type slowLocator struct {
+	soleInstance
+	begun chan struct{}
+	last  time.Duration
+}
+
+func (l *slowLocator) Locate(ctx context.Context, _ []locator.Peer, _ string, _ placer.AssignRequest) placer.Assignment {
+	close(l.begun)
+	select {
+	case <-ctx.Done():
+	case <-time.After(l.last):
+	}
+	return placer.Assignment{}
+}
+
+// Guards against a request that waits for the place of its object when its instance leaves, and is sent or refused late: the
+// instance that knows the place may not answer.
+func TestRequestThatWaitsForAPlaceIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c, s := startCarrier(t, signedAnswer(http.StatusOK))
+	view := c.Views.View()
+	for _, r := range view.Table.Plan.Routes {
+		r.Sticky = true
+	}
+	l := &slowLocator{begun: make(chan struct{}), last: routeLimit * 2 / 3}
+	c.Locator = l
+	leftAt := make(chan time.Time, 1)
+	go func() {
+		<-l.begun
+		leftAt <- time.Now()
+		c.Leave(stopIn(routeLimit / 2))
+	}()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "http://h.example/once/1", nil)
+	r.Header.Set("X-Chervilrail-Affinity-Key", "k")
+	r.Header.Set("X-Chervilrail-Attempt-Id", "a")
+	c.ServeHTTP(w, r)
+	checkRefused(t, w.Code, w.Header())
+	is.Equal(len(s.sent), 0)
+	is.True(time.Since(<-leftAt) < promptly)
+}
