Requests stop waiting for their objects' places when their instance leaves

Callers that could be served elsewhere at once waited for their refusal.

Cause: the wait for the place of an object did not end with the admission of the request. It has the context of the admission now, and no target is asked for once that has ended.

--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -80,12 +80,16 @@
 	}
 	ctx, cancel := c.departure.admission(j.request.Context(), j.deadline)
 	defer cancel()
-	return svc.admit(ctx, c.ticket(j, svc, tried))
+	ticket := c.ticket(ctx, j, svc, tried)
+	if ctx.Err() != nil {
+		return placer.Decision{}, false
+	}
+	return svc.admit(ctx, ticket)
 }
 
-func (c *Carrier) ticket(j *job, svc *serviceState, tried []string) *placer.Ticket {
+func (c *Carrier) ticket(ctx context.Context, j *job, svc *serviceState, tried []string) *placer.Ticket {
 	warm, cold := c.routes.expected(j.route)
-	j.place = c.locate(j, svc, cold)
+	j.place = c.locate(ctx, j, svc, cold)
 	return &placer.Ticket{
 		Host:           j.place.Target,
 		WarmAt:         j.place.WarmAt,
@@ -103,8 +107,8 @@
 	}
 }
 
-// locate returns the target that keeps the request's object warm; the place is empty if there is none.
-func (c *Carrier) locate(j *job, svc *serviceState, cold time.Duration) placer.Assignment {
+// locate returns the target that keeps the request's object warm; the place is empty if there is none, or once ctx ends.
+func (c *Carrier) locate(ctx context.Context, j *job, svc *serviceState, cold time.Duration) placer.Assignment {
 	j.object = j.objectName()
 	if j.object == "" {
 		return placer.Assignment{}
@@ -119,7 +123,7 @@
 			return place
 		}
 	}
-	place := c.Locator.Locate(j.request.Context(), j.view.Peers, j.service, placer.AssignRequest{
+	place := c.Locator.Locate(ctx, j.view.Peers, j.service, placer.AssignRequest{
 		Object: j.object, Route: j.route.GetName(), Hint: svc.lastTarget(j.object), ColdTime: cold, Regions: j.regions,
 	})
 	j.locateTime = time.Since(started)
