A request that waits for its quota is refused late when its instance leaves: failing test

Callers that could be served elsewhere at once wait for their refusal, as long as the quota is awaited: 0.3 s, up to a quarter of the request's time. Where no quota comes they are told that the quota is unknown, not that the instance leaves, with a Retry-After of 1 to 2 s in place of 0.1 s.

Cause: the wait for quota has the context of the caller's request, which doesn't end when the process leaves.

--- a/entry/internal/carrier/moment_test.go
+++ b/entry/internal/carrier/moment_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"chervilrail.example/core/placer"
+	"chervilrail.example/core/quoter"
 	"chervilrail.example/entry/internal/locator"
 )
 
@@ -69,3 +70,47 @@
 	is.Equal(len(s.sent), 0)
 	is.True(time.Since(<-leftAt) < promptly)
 }
+
+// slowQuotas are Quotas that wait for room until the contexts of requests end, or for a time.
+type slowQuotas struct {
+	begun    chan struct{}
+	last     time.Duration
+	verdict  quoter.Verdict
+	returned int
+}
+
+func (q *slowQuotas) Admit(ctx context.Context, _ string, _, _ time.Time) quoter.Verdict {
+	close(q.begun)
+	select {
+	case <-ctx.Done():
+	case <-time.After(q.last):
+	}
+	return q.verdict
+}
+func (q *slowQuotas) Return(string, quoter.Verdict) { q.returned++ }
+
+// Guards against a request that waits for its quota when its instance leaves, and is refused late or loses its quota though
+// it did not run.
+func TestRequestThatWaitsForItsQuotaIsRefusedAtOnce(t *testing.T) {
+	for name, verdict := range map[string]quoter.Verdict{"granted": {}, "unknown": {Outcome: quoter.Unknown}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, s := startCarrier(t, signedAnswer(http.StatusOK))
+			requireKeys(c, &fakeQuotas{})
+			q := &slowQuotas{begun: make(chan struct{}), last: routeLimit * 2 / 3, verdict: verdict}
+			c.Quotas = q
+			leftAt := make(chan time.Time, 1)
+			go func() {
+				<-q.begun
+				leftAt <- time.Now()
+				c.Leave(stopIn(routeLimit / 2))
+			}()
+			w := sendWithHeader(c, "/once/1", key(secret))
+			checkRefused(t, w.Code, w.Header())
+			is.Equal(w.Body.String(), "leaving\n")
+			is.Equal(len(s.sent), 0)
+			is.Equal(q.returned == 1, verdict.Outcome == quoter.Granted)
+			is.True(time.Since(<-leftAt) < promptly)
+		})
+	}
+}
