Requests stop waiting for their quotas when their instance leaves

Callers that could be served elsewhere at once waited for their refusal.

Cause: the wait for a quota did not end with the admission of the request; now it does. A call to the instance that counts the quota is broken off with the wait, as where a caller disconnects: what it counted meanwhile stays counted.

--- a/entry/internal/carrier/organisation.go
+++ b/entry/internal/carrier/organisation.go
@@ -52,10 +52,15 @@
 	name := j.organisation.GetName()
 	warm, _ := c.routes.expected(j.route)
 	start := j.started.Add(time.Duration(j.route.GetAim()) - warm)
-	j.quota = c.Quotas.Admit(j.request.Context(), name, start, j.deadline)
+	ctx, cancel := c.departure.admission(j.request.Context(), j.deadline)
+	defer cancel()
+	j.quota = c.Quotas.Admit(ctx, name, start, j.deadline)
 	if j.quota.Outcome == quoter.Granted {
 		return nil
 	}
+	if leavingEnds(ctx) {
+		return c.refuseLeaving(j)
+	}
 	_ = level.Info(c.Logger).Log("msg", "quota", "id", j.call.ID, "organisation", name, "outcome", j.quota.Outcome,
 		"rate", j.organisation.GetRate(), "burst", j.organisation.GetBurst(), "held", j.quota.Held, "used", j.quota.Used,
 		"age", j.quota.Age(time.Now()), "peer", j.quota.Peer)
