A request that the stop refuses is answered even if its caller looks gone

Callers saw a closed connection without an answer for requests whose bodies were complete when their instance began to leave.

Cause: the carrier asked first whether the request's context had ended, which may be a result of the stop itself. It asks first whether the stop refuses the request now; an answer to a caller that has really gone does no harm.

--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -43,7 +43,7 @@
 	for {
 		decision, present := c.admit(j, svc, tried)
 		j.queueTime = time.Since(j.started)
-		if !present && j.request.Context().Err() != nil {
+		if !present && c.departure.admits(j.deadline) {
 			return callerDisconnected(), worst
 		}
 		if !present {
