Refusals read more of a body that has arrived

Callers that send requests ahead saw their connection closed behind a refused upload, though all had arrived whole before SIGTERM.

Cause: a refusal read 64 KiB of a body, and closed the connection if that was not all. It reads 1 MiB now, for 20 ms at most as before. Larger bodies that have arrived whole are possible on connections whose receive buffer has grown; behind those the connection still closes.

--- a/core/listener/body.go
+++ b/core/listener/body.go
@@ -13,8 +13,8 @@
 	// bodyWait is how long an answer waits for the rest of a body that nobody reads. What was sent together with the head
 	// has mostly arrived by then, and its connection can be kept.
 	bodyWait = 20 * time.Millisecond
-	// maxRest is how many bytes of it are read at most.
-	maxRest = 64 << 10
+	// maxRest is how many bytes of it are read at most: more than mostly arrives before anything of it is read.
+	maxRest = 1 << 20
 )
 
 // SkipBody prepares a refusal of an HTTP/1 request whose body may not have been read; call it before the header is
