--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -43,7 +43,7 @@
 	for {
 		decision, present := c.admit(j, svc, tried)
 		j.queueTime = time.Since(j.started)
-		if !present && j.request.Context().Err() != nil {
+		if !present && c.departure.admits(j.deadline) {
 			return callerDisconnected(), worst
 		}
 		if !present {
@@ -80,12 +80,16 @@
 	}
 	ctx, cancel := c.departure.admission(j.request.Context(), j.deadline)
 	defer cancel()
-	return svc.admit(ctx, c.ticket(j, svc, tried))
+	ticket := c.ticket(ctx, j, svc, tried)
+	if ctx.Err() != nil {
+		return placer.Decision{}, false
+	}
+	return svc.admit(ctx, ticket)
 }
 
-func (c *Carrier) ticket(j *job, svc *serviceState, tried []string) *placer.Ticket {
+func (c *Carrier) ticket(ctx context.Context, j *job, svc *serviceState, tried []string) *placer.Ticket {
 	warm, cold := c.routes.expected(j.route)
-	j.place = c.locate(j, svc, cold)
+	j.place = c.locate(ctx, j, svc, cold)
 	return &placer.Ticket{
 		Host:           j.place.Target,
 		WarmAt:         j.place.WarmAt,
@@ -103,8 +107,8 @@
 	}
 }
 
-// locate returns the target that keeps the request's object warm; the place is empty if there is none.
-func (c *Carrier) locate(j *job, svc *serviceState, cold time.Duration) placer.Assignment {
+// locate returns the target that keeps the request's object warm; the place is empty if there is none, or once ctx ends.
+func (c *Carrier) locate(ctx context.Context, j *job, svc *serviceState, cold time.Duration) placer.Assignment {
 	j.object = j.objectName()
 	if j.object == "" {
 		return placer.Assignment{}
@@ -119,7 +123,7 @@
 			return place
 		}
 	}
-	place := c.Locator.Locate(j.request.Context(), j.view.Peers, j.service, placer.AssignRequest{
+	place := c.Locator.Locate(ctx, j.view.Peers, j.service, placer.AssignRequest{
 		Object: j.object, Route: j.route.GetName(), Hint: svc.lastTarget(j.object), ColdTime: cold, Regions: j.regions,
 	})
 	j.locateTime = time.Since(started)
@@ -242,11 +246,20 @@
 		Host:     j.request.Host,
 		Header:   header,
 		Body:     j.payload(),
-		Withhold: func() string { return svc.withhold(decision.Target) },
+		Withhold: func() string { return c.withhold(j, svc, decision.Target) },
 		Matches:  func(h http.Header) bool { return c.Codec.Reply(http.StatusOK, h, now).ID == j.call.ID },
 	}
 }
 
+// withhold reports why a request must not be sent to the target that was chosen for it, empty if it may: the process may
+// have begun to leave, or the target to drain, while a connection was opened.
+func (c *Carrier) withhold(j *job, svc *serviceState, t *placer.Target) string {
+	if !c.departure.admits(j.deadline) {
+		return "leaving"
+	}
+	return svc.withhold(t)
+}
+
 // classify returns the result and the state of an attempt from its answer.
 func (c *Carrier) classify(
 	j *job, a *pooler.Answer, reply messenger.Reply, sendOutcome pooler.Outcome,
