--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -75,10 +75,10 @@
 // admit waits for the decision to which target a request is sent; false means that it is not sent, as its caller has
 // disconnected or as it may outlast the stop of the process.
 func (c *Carrier) admit(j *job, svc *serviceState, tried []string) (placer.Decision, bool) {
-	if !c.departure.admits(j.deadline) {
+	if !c.departure.Admits(j.deadline) {
 		return placer.Decision{}, false
 	}
-	ctx, cancel := c.departure.admission(j.request.Context(), j.deadline)
+	ctx, cancel := c.departure.Admission(j.request.Context(), j.deadline)
 	defer cancel()
 	return svc.admit(ctx, c.ticket(j, svc, tried))
 }
@@ -137,7 +137,7 @@
 // budget, because all instances together may repeat only a fraction of their requests.
 func (c *Carrier) mayRetry(j *job, svc *serviceState, state attemptState) bool {
 	now := time.Now()
-	if !now.Before(j.deadline) || j.request.Context().Err() != nil || !c.departure.admits(j.deadline) {
+	if !now.Before(j.deadline) || j.request.Context().Err() != nil || !c.departure.Admits(j.deadline) {
 		return false
 	}
 	switch state {
@@ -220,7 +220,7 @@
 	if !j.route.GetIdempotent() {
 		parent = context.WithoutCancel(parent)
 	}
-	leaving, leave := c.departure.attempt(parent)
+	leaving, leave := c.departure.Attempt(parent)
 	ctx, cancel := context.WithDeadline(leaving, j.deadline.Add(answerMargin))
 	return ctx, func() {
 		cancel()
@@ -334,7 +334,7 @@
 // failure returns the final result of a request that no target answered.
 func (c *Carrier) failure(j *job, state attemptState) result {
 	now := time.Now()
-	if state != unknown && !c.departure.admits(j.deadline) {
+	if state != unknown && !c.departure.Admits(j.deadline) {
 		return *c.refuseLeaving(j)
 	}
 	if state != unknown {
@@ -343,7 +343,7 @@
 	if !now.Before(j.deadline) {
 		return refuse(http.StatusGatewayTimeout, "timeout", time.Time{})
 	}
-	if c.departure.ended.Err() != nil {
+	if c.departure.Ended() {
 		return refuse(http.StatusGatewayTimeout, "leaving", time.Time{})
 	}
 	return refuse(http.StatusBadGateway, "broken", time.Time{})
--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -18,6 +18,7 @@
 	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/gauger"
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/leaver"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
@@ -100,7 +101,7 @@
 	// labelledPlan is the plan from which the organisations with a label in the metrics were chosen.
 	labelledPlan *wire.Plan
 	stopping     atomic.Bool
-	departure    *departure
+	departure    *leaver.Leaver
 	running      atomic.Int64
 	cancel       context.CancelFunc
 	done         chan struct{}
@@ -112,7 +113,7 @@
 // Start starts the periodic maintenance of queued and overdue requests.
 func (c *Carrier) Start(context.Context, kernel.Finder) error {
 	c.services = map[string]*serviceState{}
-	c.departure = newDeparture()
+	c.departure = leaver.New()
 	c.done = make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chervilrail.example/core/bounder"
+	"chervilrail.example/core/leaver"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/placer"
 	"chervilrail.example/core/quarantiner"
@@ -90,8 +91,8 @@
 	if !call.Deadline.IsZero() && call.Deadline.Before(j.deadline) {
 		j.deadline = call.Deadline
 	}
-	j.leaving = c.departure.age(j.started)
-	if !c.departure.admits(j.deadline) {
+	j.leaving = c.departure.Age(j.started)
+	if !c.departure.Admits(j.deadline) {
 		return c.refuseLeaving(j)
 	}
 	if out := c.readBody(w, j); out != nil {
@@ -111,7 +112,7 @@
 	if planLimit := j.view.Table.Plan.GetLimits().GetBody(); planLimit > 0 {
 		limit = min(limit, planLimit)
 	}
-	ctx, cancel := c.departure.admission(j.request.Context(), j.deadline)
+	ctx, cancel := c.departure.Admission(j.request.Context(), j.deadline)
 	defer cancel()
 	limited := limitReads(ctx, w, j.deadline) // without a limit, the caller's own deadline ends the transfer
 	body, err := c.Bodies.Read(j.request.Body, j.request.ContentLength, limit)
@@ -120,7 +121,7 @@
 	if err == nil {
 		return nil
 	}
-	if leavingEnds(ctx) {
+	if leaver.Ends(ctx) {
 		return c.refuseLeaving(j)
 	}
 	out := refuseBody(err)
