The own interface takes only what can't outlast its stop

What callers saw: around a planned stop of an instance on the own interface, requests that their target was still running at the end of the stop were cut without an answer, also those that came during the stop, and a second try, a request from the queue or one whose claim came late was still sent. An answer was held back up to 4 s for the ledger, past the cut. A target and request that the stop cut counted as a crash and was broadcast as a loss.

Contexts of attempts, claims, queue and ledger had times of their own.

Why it works: from Leave on, a request is sent only if its deadline is not after End, checked once more before each try; a wait for a slot, a claim or a body ends at once when that changes, with 503 and the outcome not-run. A request without a deadline (an upload) has no end and is refused. What is at a target at End ends there with 504 and the outcome unknown, between End and Cut.

--- a/entry/internal/forwarder/admission.go
+++ b/entry/internal/forwarder/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilrail.example/core/admitter"
+	"chervilrail.example/core/leaver"
 	"chervilrail.example/core/retrier"
 	"chervilrail.example/core/tuner"
 	"chervilrail.example/entry/internal/directory"
@@ -121,8 +122,8 @@
 	return int64(max(0, d.queue.Capacity()-d.queue.Running()-d.queue.Waiting()))
 }
 
-// admit waits until the request is admitted. It returns a refusal if the queue rejects the request or the caller
-// disconnects.
+// admit waits until the request is admitted. It returns a refusal if the queue rejects the request, the caller disconnects,
+// or the process leaves and the request may outlast that.
 func (f *Forwarder) admit(j *job, d *admission) (*admitter.Ticket, *refuser.Refusal) {
 	now := time.Now()
 	t := &admitter.Ticket{
@@ -133,10 +134,15 @@
 	}
 	decision, decided := d.offer(now, t)
 	if !decided {
+		ctx, cancel := f.leaving.Admission(j.request.Context(), j.deadline)
+		defer cancel()
 		select {
 		case decision = <-t.Decided:
-		case <-j.request.Context().Done():
+		case <-ctx.Done():
 			d.cancel(t)
+			if leaver.Ends(ctx) {
+				return nil, f.refuseLeaving(time.Now())
+			}
 			return nil, refuse(http.StatusServiceUnavailable, "gone", "the caller went away", time.Time{})
 		}
 	}
--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -65,7 +65,7 @@
 		if !out.timedOut {
 			tried = append(tried, target)
 		}
-		again := j.ctx.Err() == nil && d.budget.AllowRetry(retrier.Attempt{
+		again := j.ctx.Err() == nil && f.leaving.Admits(j.deadline) && d.budget.AllowRetry(retrier.Attempt{
 			Ending:     out.ending,
 			Idempotent: j.idempotent(),
 			Replayable: j.body.replayable(),
@@ -142,7 +142,7 @@
 		r.Header.Get(refuser.HeaderOutcome) == string(refuser.NotRun)
 }
 
-// attemptContext returns the context of one attempt. A request that must not repeat continues when its caller
+// attemptContext returns the context of one attempt, which ends when the last answers are due in a planned stop. A request that must not repeat continues when its caller
 // disconnects: if it were cancelled, its outcome would be unknown, whereas its stored outcome can answer the caller's
 // repeat.
 func (f *Forwarder) attemptContext(j *job) (context.Context, context.CancelFunc) {
@@ -150,14 +150,20 @@
 	if j.once() {
 		ctx = context.WithoutCancel(ctx)
 	}
+	leaving, leave := f.leaving.Attempt(ctx)
 	if j.deadline.IsZero() {
-		return context.WithCancel(ctx)
+		return leaving, leave
+	}
+	ctx, cancel := context.WithDeadline(leaving, j.deadline)
+	return ctx, func() {
+		cancel()
+		leave()
 	}
-	return context.WithDeadline(ctx, j.deadline)
 }
 
 // reserveTarget reserves a slot at a target in a region whose cap has room. While no slot is free, it searches again
-// until placeTimeout or the caller's deadline has passed or the caller has disconnected.
+// until placeTimeout or the caller's deadline has passed, the caller has disconnected, or the process leaves and the request
+// may outlast that.
 func (f *Forwarder) reserveTarget(j *job, d *admission, tried []*balancer.Target) (*balancer.Target, *refuser.Refusal) {
 	giveUpAt := time.Now().Add(placeTimeout)
 	if !j.deadline.IsZero() && j.deadline.Before(giveUpAt) {
@@ -165,6 +171,9 @@
 	}
 	for {
 		now := time.Now()
+		if !f.leaving.Admits(j.deadline) {
+			return nil, f.refuseLeaving(now)
+		}
 		target, capped := f.reserveInRegions(now, j, tried)
 		if target != nil {
 			return target, nil
@@ -279,7 +288,7 @@
 		_ = level.Warn(f.Logger).Log("msg", "connection silent", "target", target.Name, "entry", j.entry.Name)
 		return
 	}
-	if late || j.ctx.Err() != nil {
+	if late || j.ctx.Err() != nil || f.leaving.Ended() {
 		return
 	}
 	target.Fail(now)
@@ -310,6 +319,9 @@
 
 // finalRefusal returns the answer after the last failed attempt. The outcome is not-run only if that is certain.
 func (f *Forwarder) finalRefusal(now time.Time, j *job, d *admission, ending retrier.Ending) *refuser.Refusal {
+	if refusal := f.leavingRefusal(now, j, ending); refusal != nil {
+		return refusal
+	}
 	refusal := refuse(http.StatusServiceUnavailable, "failed", "the targets can't take the request", d.retryAt(now, j))
 	if ending == retrier.Unrun {
 		return refusal
--- a/entry/internal/forwarder/body.go
+++ b/entry/internal/forwarder/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -35,8 +36,11 @@
 	held *bounder.Body
 }
 
-// readAhead reads the first part of a body, or all of it if whole is set. Release the body with close in any case.
-func (f *Forwarder) readAhead(w http.ResponseWriter, r *http.Request, limit int64, whole bool) (*body, error) {
+// readAhead reads the first part of a body, or all of it if whole is set, until ctx ends. Release the body with close in any
+// case.
+func (f *Forwarder) readAhead(
+	ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, whole bool,
+) (*body, error) {
 	b := &body{size: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody {
 		b.size = 0
@@ -45,7 +49,8 @@
 	if whole {
 		limit = min(limit, maxOnceBody)
 	}
-	source := &stallReader{http.MaxBytesReader(w, r.Body, limit), http.NewResponseController(w)}
+	source := &stallReader{http.MaxBytesReader(w, r.Body, limit), http.NewResponseController(w), ctx}
+	defer source.endWith(ctx)()
 	if whole {
 		held, err := f.Bodies.Read(source, r.ContentLength, limit)
 		b.held, b.ahead, b.size = held, held.Bytes, int64(len(held.Bytes))
@@ -111,10 +116,24 @@
 type stallReader struct {
 	io.ReadCloser
 	controller *http.ResponseController
+	// ctx is that of reading ahead; no read begins once it has ended.
+	ctx context.Context
+}
+
+// endWith ends reads when ctx ends, until the function that it returns is called.
+func (s *stallReader) endWith(ctx context.Context) func() {
+	stop := context.AfterFunc(ctx, func() { _ = s.controller.SetReadDeadline(time.Unix(1, 0)) })
+	return func() {
+		stop()
+		s.ctx = context.Background()
+	}
 }
 
 func (s *stallReader) Read(p []byte) (int, error) {
 	_ = s.controller.SetReadDeadline(time.Now().Add(stallTimeout))
+	if s.ctx.Err() != nil {
+		return 0, context.Cause(s.ctx)
+	}
 	return s.ReadCloser.Read(p)
 }
 
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/granter"
 	"chervilrail.example/core/kernel"
+	"chervilrail.example/core/leaver"
 	"chervilrail.example/core/listener"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/core/wire"
@@ -74,6 +75,7 @@
 	mu          sync.Mutex
 	admissions  map[string]*admission
 	stopping    atomic.Bool
+	leaving     *leaver.Leaver
 	running     atomic.Int64
 	reportCount atomic.Int64
 	cancel      context.CancelFunc
@@ -87,6 +89,7 @@
 func (f *Forwarder) Start(context.Context, kernel.Finder) error {
 	f.balancer.Random = rand.Uint64
 	f.admissions = map[string]*admission{}
+	f.leaving = leaver.New()
 	f.connections.holder = f.Holder
 	f.connections.region = f.Region
 	f.done = make(chan struct{})
--- a/entry/internal/forwarder/job.go
+++ b/entry/internal/forwarder/job.go
@@ -14,6 +14,7 @@
 
 	"chervilrail.example/core/bounder"
 	"chervilrail.example/core/cataloguer"
+	"chervilrail.example/core/leaver"
 	"chervilrail.example/core/quarantiner"
 	"chervilrail.example/entry/internal/directory"
 	"chervilrail.example/entry/internal/refuser"
@@ -72,6 +73,9 @@
 	if refusal := j.readDeadline(now); refusal != nil {
 		return j, refusal
 	}
+	if !f.leaving.Admits(j.deadline) {
+		return j, f.refuseLeaving(now)
+	}
 	if refusal := j.readKey(); refusal != nil {
 		return j, refusal
 	}
@@ -164,10 +168,15 @@
 		return refuse(http.StatusRequestEntityTooLarge, "size",
 			"at most "+strconv.FormatInt(j.entry.Body, 10)+" bytes", time.Time{})
 	}
-	b, err := f.readAhead(w, r, j.entry.Body, j.once())
+	ctx, cancel := f.leaving.Admission(j.ctx, j.deadline)
+	defer cancel()
+	b, err := f.readAhead(ctx, w, r, j.entry.Body, j.once())
 	if err != nil {
 		b.close()
 	}
+	if err != nil && leaver.Ends(ctx) {
+		return f.refuseLeaving(time.Now())
+	}
 	var full *bounder.FullError
 	if errors.As(err, &full) {
 		return refuse(http.StatusServiceUnavailable, "memory", err.Error(), time.Now().Add(bodyRetryDelay))
--- a/entry/internal/forwarder/once.go
+++ b/entry/internal/forwarder/once.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"chervilrail.example/core/claimer"
+	"chervilrail.example/core/leaver"
 	"chervilrail.example/core/messenger"
 	"chervilrail.example/core/retrier"
 	"chervilrail.example/core/wire"
@@ -33,13 +34,18 @@
 // attempt certainly did not run it, and settled before it is answered.
 func (f *Forwarder) forwardOnce(w http.ResponseWriter, j *job, d *admission) *refuser.Refusal {
 	claim := f.newClaim(j)
-	ctx, cancel := context.WithTimeout(j.ctx, claimTimeout)
+	admitted, release := f.leaving.Admission(j.ctx, j.deadline)
+	defer release()
+	ctx, cancel := context.WithTimeout(admitted, claimTimeout)
 	granted, err := f.Ledger.Claim(ctx, claim)
 	cancel()
 	if err != nil {
 		// The claim may have been granted and its answer lost. Nothing was sent and nothing will be, so the request
 		// certainly did not run. The key is released so that the caller's repeat can run.
 		go f.settle(backgroundSettleTimeout, &wire.Settle{Unrun: true}, claim)
+		if leaver.Ends(admitted) {
+			return f.refuseLeaving(time.Now())
+		}
 		return refuse(http.StatusServiceUnavailable, "ledger", "the ledger can't be reached", d.retryAt(time.Now(), j))
 	}
 	if granted.GetState() != wire.ClaimState_CLAIM_GRANTED {
@@ -93,6 +99,9 @@
 	if err != nil {
 		go f.settle(backgroundSettleTimeout, &wire.Settle{Unknown: true}, c)
 		out.release()
+		if refusal := f.leavingRefusal(time.Now(), j, retrier.Unknown); refusal != nil {
+			return refusal
+		}
 		return &refuser.Refusal{
 			Status:  http.StatusBadGateway,
 			Title:   "answer broken off",
@@ -104,7 +113,12 @@
 	outcome := &wire.Outcome{Status: int32(out.response.StatusCode), Header: storedHeader(out.response.Header)}
 	outcome.Body = head[:min(len(head), claimer.MaxBody)]
 	outcome.Partial = len(head) > claimer.MaxBody
-	f.settle(settleTimeout, &wire.Settle{Outcome: outcome}, c)
+	stored := make(chan struct{})
+	go func() {
+		defer close(stored)
+		f.settle(settleTimeout, &wire.Settle{Outcome: outcome}, c)
+	}()
+	f.awaitStored(stored)
 	rest := out.response.Body
 	out.response.Body = struct {
 		io.Reader
