The own interface serves until the deadline of its stop, not beyond it

What callers saw: with a grace of 1 s, all requests in progress were cut, however short.

Cause: the drainer waited for the age of answers and three heartbeats, a sum that follows from no deadline: 1.017 s of 0.917 s at a grace of 1 s. It returned when the whole stop was over, so that listeners and forwarder had no time left.

Evidence: TestOwnInterfaceLeavesTimeForRequestsInProgress (grace 1 s) on the code before: the drainer returns after Cut (0.92 s). Now it passes.

Why it works: the sum is the Serve of the stop, which package stopper bounds by End; the drainer waits for that deadline and tells the forwarder the deadlines first.

--- a/entry/internal/cli/cli.go
+++ b/entry/internal/cli/cli.go
@@ -38,6 +38,8 @@
 const (
 	exitFailure  = 1
 	exitSettings = 2
+	// leaveHeartbeats is how many heartbeats it may take until every instance has learnt that this one leaves.
+	leaveHeartbeats = 3
 )
 
 // Run runs the program and returns its exit code.
@@ -156,7 +158,9 @@
 
 // kernel lists the services in the order of their start; they stop in reverse.
 func (p *program) kernel() *kernel.Kernel {
-	k := &kernel.Kernel{Logger: p.logger, Stopper: stopOf(p.settings), Fatal: make(chan error, 1)}
+	stop := stopOf(p.settings)
+	stop.Serve += leaveHeartbeats * p.settings.RenewInterval // until then, answers may be given that name this instance
+	k := &kernel.Kernel{Logger: p.logger, Stopper: stop, Fatal: make(chan error, 1)}
 	operator := http.NewServeMux()
 	reporter.Mount(operator, p.registry, k)
 	caller := p.newListener("caller", p.callerHandler())
@@ -172,12 +176,10 @@
 		p.newListener("target", p.targetHandler()),
 		caller,
 		&drainer{
-			directory:         p.directory,
-			forwarder:         p.forwarder,
-			caller:            caller,
-			answerMaxAge:      p.settings.AnswerMaxAge,
-			heartbeatInterval: p.settings.RenewInterval,
-			logger:            p.logger,
+			directory: p.directory,
+			forwarder: p.forwarder,
+			caller:    caller,
+			logger:    p.logger,
 		},
 	}
 	return k
--- a/entry/internal/cli/drainer.go
+++ b/entry/internal/cli/drainer.go
@@ -9,23 +9,18 @@
 
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/listener"
+	"chervilrail.example/core/stopper"
 	"chervilrail.example/entry/internal/directory"
 	"chervilrail.example/entry/internal/forwarder"
 )
 
-// leaveHeartbeats is how many heartbeats it may take until every instance has learnt that this one leaves.
-const leaveHeartbeats = 3
-
 // drainer is the service that is stopped first. Callers cache the answers to look-ups, so an instance that refused
 // requests as soon as it has to stop would turn away callers that were directed to it just before.
 type drainer struct {
 	directory *directory.Directory
 	forwarder *forwarder.Forwarder
 	caller    *listener.Listener
-	// answerMaxAge is how long callers keep answers that name this instance.
-	answerMaxAge      time.Duration
-	heartbeatInterval time.Duration
-	logger            log.Logger
+	logger    log.Logger
 }
 
 // Name implements kernel.Service.
@@ -37,14 +32,15 @@
 // Health implements kernel.Service.
 func (d *drainer) Health() error { return nil }
 
-// Stop marks the instance as leaving, so that look-ups no longer name it, waits until the answers that name it have
-// expired, and then refuses new requests.
+// Stop marks the instance as leaving, so that look-ups no longer name it, and serves requests that end in time until the
+// deadline Serve of the stop. Then it refuses new requests.
 func (d *drainer) Stop(ctx context.Context) error {
+	deadlines := stopper.FromContext(ctx)
+	d.forwarder.Leave(deadlines)
 	d.directory.Leave()
-	wait := d.answerMaxAge + leaveHeartbeats*d.heartbeatInterval
-	_ = level.Info(d.logger).Log("msg", "leaving", "until", time.Now().Add(wait).UTC().Format(time.RFC3339))
+	_ = level.Info(d.logger).Log("msg", "leaving", "until", deadlines.Serve.UTC().Format(time.RFC3339))
 	select {
-	case <-time.After(wait):
+	case <-time.After(time.Until(deadlines.Serve)):
 	case <-ctx.Done():
 	}
 	d.caller.Leave()
