--- a/entry/internal/carrier/attempt.go
+++ b/entry/internal/carrier/attempt.go
@@ -43,7 +43,7 @@
 	for {
 		decision, present := c.admit(j, svc, tried)
 		j.queueTime = time.Since(j.started)
-		if !present && c.departure.admits(j.deadline) {
+		if !present && c.departure.Admits(j.deadline) {
 			return callerDisconnected(), worst
 		}
 		if !present {
@@ -254,8 +254,8 @@
 // withhold reports why a request must not be sent to the target that was chosen for it, empty if it may: the process may
 // have begun to leave, or the target to drain, while a connection was opened.
 func (c *Carrier) withhold(j *job, svc *serviceState, t *placer.Target) string {
-	if !c.departure.admits(j.deadline) {
-		return "leaving"
+	if !c.departure.Admits(j.deadline) {
+		return "stopping"
 	}
 	return svc.withhold(t)
 }
--- a/entry/internal/carrier/organisation.go
+++ b/entry/internal/carrier/organisation.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"chervilrail.example/core/leaver"
 	"chervilrail.example/core/planner"
 	"chervilrail.example/core/quoter"
 )
@@ -52,13 +53,13 @@
 	name := j.organisation.GetName()
 	warm, _ := c.routes.expected(j.route)
 	start := j.started.Add(time.Duration(j.route.GetAim()) - warm)
-	ctx, cancel := c.departure.admission(j.request.Context(), j.deadline)
+	ctx, cancel := c.departure.Admission(j.request.Context(), j.deadline)
 	defer cancel()
 	j.quota = c.Quotas.Admit(ctx, name, start, j.deadline)
 	if j.quota.Outcome == quoter.Granted {
 		return nil
 	}
-	if leavingEnds(ctx) {
+	if leaver.Ends(ctx) {
 		return c.refuseLeaving(j)
 	}
 	_ = level.Info(c.Logger).Log("msg", "quota", "id", j.call.ID, "organisation", name, "outcome", j.quota.Outcome,
