--- a/controller/internal/config/config.go
+++ b/controller/internal/config/config.go
@@ -22,10 +22,7 @@
 	defaultStopTimeout  = 10 * time.Second
 	minElection         = 50 * time.Millisecond
 	maxElection         = time.Minute
-	// minGrace and maxGrace bound the grace period.
-	minGrace       = time.Second
-	maxGrace       = 24 * time.Hour
-	maxControllers = 8
+	maxControllers      = 8
 	// defaultMaxVoters is the number of voters with which two may fail at once. Each further pair costs two more
 	// messages per change.
 	defaultMaxVoters = 5
@@ -94,11 +91,9 @@
 // Load reads a settings file and validates it. Its errors are those of Parse, and a *parser.FaultsError if the file
 // can't be read.
 func Load(path string) (*Config, error) {
-	data, err := os.ReadFile(path)
+	data, err := parser.ReadFile(path)
 	if err != nil {
-		return nil, &parser.FaultsError{Faults: []parser.Fault{{
-			Source: path, Expected: "a settings file", Got: err.Error(),
-		}}}
+		return nil, err
 	}
 	return Parse(path, data)
 }
@@ -181,15 +176,7 @@
 	c.Heartbeat = d.Duration(s, "heartbeat", defaultHeartbeat, time.Millisecond, maxElection)
 	c.ReplaceAfter = d.Duration(s, "replace", defaultReplaceAfter, minElection, time.Hour)
 	c.Lease = d.Duration(s, "lease", defaultLease, minElection, maxElection)
-	patience := defaultStopTimeout
-	grace := d.Duration(s, "grace", 0, minGrace, maxGrace)
-	if grace > 0 {
-		patience = stopper.TimeoutFor(grace)
-	}
-	c.StopTimeout = d.Duration(s, "patience", patience, time.Second, maxGrace)
-	if grace > 0 && c.StopTimeout >= grace {
-		d.Fault(s, "patience", "less than grace", c.StopTimeout.String())
-	}
+	_, c.StopTimeout = stopper.ReadTimeout(d, s, defaultStopTimeout)
 }
 
 // readTLS reads a section with the key files of one interface.
@@ -215,12 +202,7 @@
 // readSeeds reads the addresses of the controllers that are known before any of them has been contacted. They are named
 // by their IP numbers and take calls of other controllers at the same port as this one.
 func (c *Config) readSeeds(d *parser.Document, s *parser.Section) {
-	for _, text := range d.List(s, "addresses") {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
-			d.Fault(s, "addresses", "addresses such as 127.0.0.1:7000", strconv.Quote(text))
-			continue
-		}
+	for _, address := range d.Addresses(s, "addresses") {
 		c.Peers[address.Addr().String()] = netip.AddrPortFrom(address.Addr(), c.Control.Port())
 	}
 	c.Bootstrap = d.Bool(s, "found", false)
--- a/core/parser/values.go
+++ b/core/parser/values.go
@@ -178,6 +178,20 @@
 	return address
 }
 
+// Addresses returns the IP addresses and ports of a key.
+func (d *Document) Addresses(s *Section, key string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, text := range d.List(s, key) {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			d.Fault(s, key, "addresses such as 127.0.0.1:7000", strconv.Quote(text))
+			continue
+		}
+		out = append(out, address)
+	}
+	return out
+}
+
 // Prefixes reads IP prefixes separated by commas; the key may be absent.
 func (d *Document) Prefixes(s *Section, key string) []netip.Prefix {
 	var out []netip.Prefix
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -3,7 +3,6 @@
 
 import (
 	"net/netip"
-	"os"
 	"strconv"
 	"time"
 
@@ -17,10 +16,7 @@
 	defaultAnswerMaxAge  = 5 * time.Second
 	defaultStopTimeout   = 30 * time.Minute
 	minRenewInterval     = 10 * time.Millisecond
-	// minGrace and maxGrace bound the grace period.
-	minGrace = time.Second
-	maxGrace = 24 * time.Hour
-	maxPort  = 1<<16 - 1
+	maxPort              = 1<<16 - 1
 )
 
 // Config is an entry instance's checked settings.
@@ -68,11 +64,9 @@
 
 // Load reads a settings file and checks it. It returns a parser.FaultsError that lists every fault.
 func Load(path string) (*Config, error) {
-	data, err := os.ReadFile(path)
+	data, err := parser.ReadFile(path)
 	if err != nil {
-		return nil, &parser.FaultsError{Faults: []parser.Fault{{
-			Source: path, Expected: "a settings file", Got: err.Error(),
-		}}}
+		return nil, err
 	}
 	return Parse(path, data)
 }
@@ -126,7 +120,7 @@
 	case "memory":
 		c.MemoryLimit = d.Memory(s, "limit")
 	case "controllers":
-		c.parseControllers(d, s)
+		c.Controllers = readControllers(d, s)
 	case "timing":
 		c.parseTiming(d, s)
 	case "tls":
@@ -142,47 +136,31 @@
 
 func (c *Config) parseTiming(d *parser.Document, s *parser.Section) {
 	c.RenewInterval = d.Duration(s, "renew", defaultRenewInterval, minRenewInterval, time.Minute)
-	answer, patience := defaultAnswerMaxAge, defaultStopTimeout
-	grace := d.Duration(s, "grace", 0, minGrace, maxGrace)
+	grace, timeout := stopper.ReadTimeout(d, s, defaultStopTimeout)
+	answer := defaultAnswerMaxAge
 	if grace > 0 {
-		patience, answer = stopper.TimeoutFor(grace), stopper.ServeFor(grace)
+		answer = stopper.ServeFor(grace)
 	}
 	c.AnswerMaxAge = d.Duration(s, "answer", answer, time.Second, time.Hour)
-	c.StopTimeout = d.Duration(s, "patience", patience, time.Second, maxGrace)
-	if grace > 0 && c.StopTimeout >= grace {
-		d.Fault(s, "patience", "less than grace", c.StopTimeout.String())
-	}
+	c.StopTimeout = timeout
 }
 
 // parseSeeds reads controllers of which only the address for the platform's calls is known. Entry instances call them
 // at another port, the same on all controllers.
 func (c *Config) parseSeeds(d *parser.Document, s *parser.Section) {
 	port := d.Number(s, "port", 0, 1, maxPort)
-	for _, text := range d.List(s, "addresses") {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
-			d.Fault(s, "addresses", "addresses such as 127.0.0.1:7000", strconv.Quote(text))
-			continue
-		}
+	for _, address := range readControllers(d, s) {
 		c.Seeds = append(c.Seeds, netip.AddrPortFrom(address.Addr(), uint16(port)))
 	}
-	if len(c.Seeds) == 0 {
-		d.Fault(s, "addresses", "at least one controller", "none")
-	}
 }
 
-func (c *Config) parseControllers(d *parser.Document, s *parser.Section) {
-	for _, text := range d.List(s, "addresses") {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
-			d.Fault(s, "addresses", "addresses such as 127.0.0.1:7000", strconv.Quote(text))
-			continue
-		}
-		c.Controllers = append(c.Controllers, address)
-	}
-	if len(c.Controllers) == 0 {
+// readControllers returns the addresses of controllers, of which there has to be at least one.
+func readControllers(d *parser.Document, s *parser.Section) []netip.AddrPort {
+	out := d.Addresses(s, "addresses")
+	if len(out) == 0 {
 		d.Fault(s, "addresses", "at least one controller", "none")
 	}
+	return out
 }
 
 func (c *Config) parseTLS(d *parser.Document, s *parser.Section) {
