Controllers answer orders that a planned stop has no time for, before it cuts their connections

What callers saw: an order (a configuration, an evacuation) that waits for consensus when its controller stops got no answer: the connection was closed without one, and the caller could not tell whether to wait or to send it elsewhere.

Cause: commands have a time of their own (3 s, or 5 s on the operators' own interface, leaves and heartbeats up to 1.4 s). Listeners ended the contexts of calls only together with their connections, at Cut, which is earlier than these times at a grace of 1 s (0.83 s) and 2 s.

Why it works: with EndRequests, a listener ends the contexts of its calls at End, and handlers have the time until Cut to answer. An order that may still take effect is never acknowledged then; 503 asks the caller to send it again. It covers all four kinds of listeners of a controller, so also forwarded commands, watches and grants. Entry instances don't set it: for their handlers, the end of a context means that the caller has gone.

--- a/controller/internal/cli/cli.go
+++ b/controller/internal/cli/cli.go
@@ -191,7 +191,7 @@
 		exchange,
 		&listener.Listener{
 			ServiceName: "control", Address: settings.Control, Handler: handlers.Control(), Keys: controlKeys, Logger: logs,
-			Closer: closing,
+			Closer: closing, EndRequests: true,
 		},
 		&listener.Listener{
 			ServiceName: "operator",
@@ -200,6 +200,7 @@
 			Keys:        &securer.Keys{Files: settings.OperatorKeys},
 			Logger:      logs,
 			Closer:      closing,
+			EndRequests: true,
 		},
 	}
 	k.Services = append(k.Services, work)
@@ -248,7 +249,7 @@
 		if address.IsValid() {
 			l := &listener.Listener{
 				ServiceName: title, Address: address, Handler: handler, Logger: handler.Logger,
-				Closer: closing, Bound: bound,
+				Closer: closing, Bound: bound, EndRequests: true,
 			}
 			listeners = append(listeners, l)
 			out = append(out, l)
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -43,6 +43,9 @@
 	Bound *Bound
 	// Closer closes the connections. It has to stop after the listener; nil stands for one that stops with it.
 	Closer *closer.Closer
+	// EndRequests is set if the contexts of requests are to end at the deadline End of a planned stop, so that their handlers
+	// can still answer.
+	EndRequests bool
 
 	server *http.Server
 	socket *closer.Socket
@@ -213,7 +216,8 @@
 const unusedGrace = 100 * time.Millisecond
 
 // Stop implements kernel.Service: it refuses new connections and waits for the requests in progress and those that have
-// arrived. It cuts those that have not ended at the deadline Cut of the stop, and returns a CutError.
+// arrived. It cuts those that have not ended at the deadline Cut of the stop, and returns a CutError. With EndRequests, their
+// contexts end before that.
 func (l *Listener) Stop(ctx context.Context) error {
 	if l.server == nil {
 		return nil
@@ -221,8 +225,12 @@
 	if l.ownCloser {
 		defer func() { _ = l.Closer.Stop(ctx) }() // always returns nil
 	}
-	limited, cancel := context.WithDeadline(ctx, stopper.FromContext(ctx).Cut)
+	deadlines := stopper.FromContext(ctx)
+	limited, cancel := context.WithDeadline(ctx, deadlines.Cut)
 	defer cancel()
+	if l.EndRequests {
+		defer time.AfterFunc(time.Until(deadlines.End), l.cancel).Stop()
+	}
 	l.Leave()
 	l.stopping.Store(true)
 	_ = l.socket.Close()
