A target's message whose status is no answer's is broken at once

Callers saw: a target in trouble sends a message with the status 000. Without a body, or with one of two bytes, the caller got nothing until its deadline, and the connection and the target's slot were held as long. If the body held the text of an answer, that text was delivered as the answer of the target (200, "fake"). 600 and 999 were passed on.

Cause: the pooler took every status below 200 for an interim head and read on; http.ReadResponse takes any three characters that are a number for a status, also 000 and +20.

An answer is now what RFC 9110 (15) and RFC 9112 (4) call one: major version 1 and a status of 200 to 599; before it any interim heads of 102 to 199 or 100, up to 64 KiB of heads together as before. 101, which no request asks for, and interim heads and 204 that state a body, which they must not have, are no answers either: the body would be read as the next message. All end the attempt as broken: the connection is reset, the slot freed, the caller gets 502 at once, or the request is sent to another target if it may be repeated. RFC 9110 lets a client take an unknown status such as 600 for a 5xx; with its own status 502 the caller gets one, and no signature of the target on another status than its own. After a 304 that states a length the connection is not used again, as a body that follows all the same would arrive in place of the next answer.

--- a/entry/internal/pooler/answers.go
+++ b/entry/internal/pooler/answers.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chervilrail.example/entry/internal/validator"
 )
 
 const (
@@ -47,7 +49,8 @@
 
 var errHeadTooLarge = errors.New("head too large")
 
-// readHead reads the head of an answer. It skips interim ones.
+// readHead reads the head of an answer. It skips interim ones. The error is a *validator.AnswerError if a message is no
+// answer.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	c.head.left, c.head.limited = maxHeadSize, true
 	defer func() { c.head.limited = false }()
@@ -59,8 +62,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if status := response.StatusCode; status < http.StatusContinue || status >= http.StatusOK {
+			return response, validator.Answer(response)
+		}
+		if err := validator.Interim(response); err != nil {
+			return nil, err
 		}
 	}
 }
--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -20,6 +20,7 @@
 
 	"chervilrail.example/core/prober"
 	"chervilrail.example/core/resetter"
+	"chervilrail.example/entry/internal/validator"
 )
 
 const (
@@ -281,7 +282,7 @@
 		return nil, err // the body is not closed: that would read the rest of it
 	}
 	_ = response.Body.Close()
-	if response.Close {
+	if response.Close || response.StatusCode == http.StatusNotModified && validator.StatesBody(response) {
 		response.Header.Set("Connection", "close")
 	}
 	return &Answer{response.StatusCode, response.Header, body}, nil
