A planned stop does not wait for unused connections of HTTP/2

What callers saw: a controller told to stop at a grace of 1 s ended with exit status 1 and cut connections of other controllers on which there was no request. At longer graces each stop of a controller with others took 1.05 s for the same reason; for that time a leader takes no acknowledgements of its followers any more, and they have no other leader yet.

Cause: once it has told the other end of a connection of HTTP/2 that it takes no more requests, the standard library's server leaves the connection open for a second unless the other end closes it, and Go's client does not while it is idle. The stop waited for that, up to Cut (0.83 s at a grace of 1 s).

A connection with a request in progress, or with an answer that is not written, is not idle to the server (TestStopAnswersMultiplexedRequests). If the other end does not close, the stop waits as before.

--- a/core/closer/conn.go
+++ b/core/closer/conn.go
@@ -29,6 +29,8 @@
 	idle    bool
 	// used is set once the server has read a request.
 	used bool
+	// quiet is set if the connection was idle when endQuiet was called last.
+	quiet bool
 	// quietAt is when a head that has begun to arrive counts as incomplete, and handed is set once the server has got a whole
 	// head. The server takes the connection for idle until it has read that.
 	quietAt time.Time
@@ -126,7 +128,7 @@
 	c.idle = idle
 	c.used = c.used || !idle
 	c.skippable = c.skippable && idle
-	c.quietAt, c.handed = time.Time{}, false
+	c.quietAt, c.handed, c.quiet = time.Time{}, false, false
 }
 
 // BeginRequest reports whether an HTTP/1 request that was read from the connection may be handled: after Close its answer
@@ -195,6 +197,20 @@
 	return !c.closed
 }
 
+// endQuiet ends this side of a connection of TLS or HTTP/2 that has been idle since the last call: what the server had to
+// write has been written by then.
+func (c *Conn) endQuiet() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.idle || !c.used || !c.multiplexed() {
+		return
+	}
+	if c.quiet {
+		_ = c.CloseWrite() // fails if the other end has gone
+	}
+	c.quiet = true
+}
+
 // close closes the connection. The caller holds mu.
 func (c *Conn) close() error {
 	c.closed = true
--- a/core/closer/socket.go
+++ b/core/closer/socket.go
@@ -75,6 +75,14 @@
 	return inUse
 }
 
+// EndQuiet ends this side of those connections of TLS and HTTP/2 that are idle, and were when it was called last. The server
+// must have told the other ends to send no more requests; they close the connections then.
+func (s *Socket) EndQuiet() {
+	for _, c := range s.open() {
+		c.endQuiet()
+	}
+}
+
 // Cut closes all connections that are still in use, with the requests in progress on them.
 func (s *Socket) Cut() {
 	s.cutting.Store(true)
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -237,7 +237,7 @@
 	// Once the server shuts down, it reads requests and drops them.
 	err := l.awaitRequests(limited)
 	if err == nil {
-		err = l.server.Shutdown(limited)
+		err = l.shutDown(limited)
 	}
 	if err == nil {
 		return nil
@@ -270,6 +270,26 @@
 	return nil
 }
 
+// shutDown shuts the server down, which waits for requests in progress on connections of TLS and HTTP/2. It tells the other
+// ends of HTTP/2 to send no more requests, and leaves idle connections to them for a second; here, they end sooner.
+func (l *Listener) shutDown(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() { ended <- l.server.Shutdown(ctx) }()
+	grace := time.Now().Add(unusedGrace)
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case now := <-ticker.C:
+			if now.After(grace) {
+				l.socket.EndQuiet()
+			}
+		}
+	}
+}
+
 // Health implements kernel.Service.
 func (l *Listener) Health() error {
 	if l.serving.Load() {
