--- a/controller/internal/cli/group_test.go
+++ b/controller/internal/cli/group_test.go
@@ -274,3 +274,32 @@
 		})
 	}
 }
+
+// Guards against a stop at the shortest grace period that fails because each listener waits for connections on which nothing
+// arrives, or only the beginning of a head.
+func TestShortestStopDoesNotWaitForUnusedConnections(t *testing.T) {
+	is := is.New(t)
+	m := newGroup(t, time.Second)[0]
+	first := orderer{address: m.settings.Callers.String(), answers: map[int]int{}}
+	for until := time.Now().Add(joinTimeout); ; time.Sleep(callPause) {
+		if _, _, open := first.call(t.Context(), "/chervilrail/rpc?call=config.get", ""); open {
+			break
+		}
+		is.True(time.Now().Before(until))
+	}
+	for _, address := range []netip.AddrPort{m.settings.Control, m.settings.Operator, m.settings.Callers, m.settings.Directory} {
+		for _, sent := range []string{"", "GET / HTT"} {
+			c, err := (&pipeliner.Pipeliner{}).Dial(t.Context(), address.String())
+			is.NoErr(err)
+			defer func() { _ = c.Close() }()
+			_, err = c.Write([]byte(sent))
+			is.NoErr(err)
+		}
+	}
+	time.Sleep(settleTime) // the server has accepted them
+	began := time.Now()
+	m.cancel()
+	is.NoErr(<-m.stopped)
+	t.Logf("gone after %v", time.Since(began).Round(time.Millisecond))
+	is.True(time.Since(began) < stopper.TimeoutFor(time.Second))
+}
