The forwarder relays only what is an answer

Callers of the own interface saw: their connection closed without an answer where a target answered with a status below 100 (000, 099, +20): WriteHeader panics. 600 and 999 were passed on, likewise 101, and 204 with the Content-Length of a body that never follows. The text of an answer in the body of a 100 was delivered as the answer. After a 101 whose connection stays open, a request that must not repeat, or a long upload, had no end: the body of such a message is the connection.

Cause: the forwarder relayed whatever the transport returns, and the transport takes any three characters that are a number for a status, 101 without being asked, and reads on after any other 1xx.

The same rules as the pooler's (validator) now end the attempt as broken: "may have run", 502 at once, or a second target where the request may be repeated; its connection is closed, also one that the transport has put back among the idle ones. Interim heads that state a body end it, too; all before one answer are bounded by 64 KiB together, as the transport bounds each alone once they are traced.

--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -16,6 +16,7 @@
 	"chervilrail.example/core/retrier"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/refuser"
+	"chervilrail.example/entry/internal/validator"
 )
 
 const (
@@ -104,17 +105,19 @@
 		})
 		defer timer.Stop()
 	}
-	var sent atomic.Bool
-	// Once a connection is obtained, bytes may have been sent: a request that fails before that certainly did not run;
-	// the outcome of one that fails afterwards is unknown.
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
+	var progress progress
+	ctx = httptrace.WithClientTrace(ctx, progress.trace())
 	//nolint:bodyclose // release closes it
 	response, err := f.connections.transport(target, j.entry.Class).RoundTrip(f.outgoing(ctx, j, target))
 	if err != nil {
 		cancel()
-		return result{target: target, ending: endingOf(sent.Load()), timedOut: timedOut.Load()}
+		return result{target: target, ending: progress.ending(), timedOut: timedOut.Load()}
+	}
+	if err := validator.Answer(response); err != nil {
+		_ = response.Body.Close()
+		cancel()
+		f.connections.closeIdle(target) // the answer's connection may be among them
+		return result{target: target, ending: retrier.Unknown}
 	}
 	if isShed(response) {
 		_ = response.Body.Close()
@@ -129,13 +132,6 @@
 	return result{response: response, target: target, release: release, took: time.Since(start)}
 }
 
-func endingOf(sent bool) retrier.Ending {
-	if sent {
-		return retrier.Unknown
-	}
-	return retrier.Unrun
-}
-
 // isShed reports whether a target refused the request and states in its response that it did not run it.
 func isShed(r *http.Response) bool {
 	return r.StatusCode == http.StatusServiceUnavailable &&
