Announcements that name no target, or are cold for good, are refused

Callers would see requests sent to no one, or to the instance itself: an announcement with port 0, an unspecified, multicast or broadcast address, or an IPv6 zone, which holds on one machine only, was taken as a target. One that states a cold time of 292 years was taken as well; instances only ever extend a cold time, so the target under that name would get few requests for good, whatever it says later.

Cause: the format check asked only for an address that can be parsed, and did not look at the cold time.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -30,6 +30,9 @@
 	maxSlots      = 1 << 16
 	// maxNumber is the highest incarnation and sequence. There is room for those that follow it.
 	maxNumber = 1 << 62
+	// maxCold is the longest time for which a target may say that it is cold; more is a mistake. Until it ends, the target
+	// gets few requests, whatever it says later.
+	maxCold = 24 * time.Hour
 )
 
 // Registrar holds the records. Its zero value is empty.
@@ -76,13 +79,25 @@
 		return &AnnouncementError{"slots", "1 to 65536", formatNumber(r.GetSlots())}
 	case r.GetLoad() < 0:
 		return &AnnouncementError{"load", "0 or more", formatNumber(r.GetLoad())}
+	case r.GetCold() > int64(maxCold) || r.GetCold() < -int64(maxCold):
+		return &AnnouncementError{"cold", "at most a day", time.Duration(r.GetCold()).String()}
 	}
-	if _, err := netip.ParseAddrPort(r.GetAddress()); err != nil {
-		return &AnnouncementError{"address", "an IP number and port", r.GetAddress()}
+	if !reachable(r.GetAddress()) {
+		return &AnnouncementError{"address", "an IP number and port of one target", r.GetAddress()}
 	}
 	return nil
 }
 
+// reachable reports whether a text is an address that names one target, the same for all instances. Connections to an
+// unspecified address would be opened to the instance itself.
+func reachable(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	ip := address.Addr().Unmap()
+	broadcast := netip.AddrFrom4([4]byte{255, 255, 255, 255})
+	return err == nil && address.Port() != 0 && ip.Zone() == "" && !ip.IsUnspecified() && !ip.IsMulticast() &&
+		ip != broadcast
+}
+
 // CheckName returns an AnnouncementError if a target's name is malformed.
 func CheckName(name string) error {
 	if name == "" || len(name) > maxNameLength || !utf8.ValidString(name) {
