A route's weights have a finite sum

Callers would see each part of a split get the same share, whatever the weights: two weights of 1.7e308 have no finite sum, so each part's share of a request is 0. Such a configuration was acknowledged.

It is refused as invalid now, as are weights that add up to 0.

--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -80,8 +80,8 @@
 		}
 		total += s.GetWeight()
 	}
-	if total <= 0 {
-		return &PlanError{r.GetName(), "weights", "a sum above 0"}
+	if total <= 0 || !isValidAmount(total) {
+		return &PlanError{r.GetName(), "weights", "a sum above 0 that is a number"}
 	}
 	return nil
 }
--- a/core/planner/planner_test.go
+++ b/core/planner/planner_test.go
@@ -118,3 +118,19 @@
 		}
 	})
 }
+
+// Guards against a route whose weights have no sum: each part would get the same share, whatever its weight.
+func TestWeightsWithoutASumAreRefused(t *testing.T) {
+	is := is.New(t)
+	plan := &wire.Plan{
+		Services: []*wire.Service{{Name: "a"}, {Name: "b"}},
+		Routes: []*wire.Route{{Name: "r", Host: "h", Prefix: "/", Splits: []*wire.Split{
+			{Service: "a", Weight: 1.7e308}, {Service: "b", Weight: 1.7e307},
+		}}},
+	}
+	var refused *PlanError
+	is.True(errors.As(Check(plan), &refused))
+	is.Equal(refused.Field, "weights")
+	plan.Routes[0].Splits[0].Weight = 1.5e308
+	is.NoErr(Check(plan))
+}
