A stop counts connections once the last one is accepted

Callers saw connections closed without an answer that were opened just before a leaving instance stopped accepting.

Cause: the connections in use were counted while one could still be accepted. Stop waits for the end of the accepting, which follows at once from the close of the socket.

Evidence: TestConnectionsAcceptedLastAreAnswered failed in 6 of 10 runs and holds 20 of 20.

--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -50,6 +50,8 @@
 	ownCloser bool
 
 	serving atomic.Bool
+	// served is closed once no further connection is accepted.
+	served chan struct{}
 	// open is the number of connections that are open, accepted the number of all since Start.
 	open     atomic.Int64
 	accepted atomic.Int64
@@ -103,6 +105,7 @@
 		Listener: socket, Closer: l.Closer, Service: l.ServiceName, Encrypted: l.Keys != nil, OnClose: l.release,
 	}
 	l.serving.Store(true)
+	l.served = make(chan struct{})
 	go l.serve(l.socket)
 	return nil
 }
@@ -133,6 +136,7 @@
 }
 
 func (l *Listener) serve(socket net.Listener) {
+	defer close(l.served)
 	defer l.serving.Store(false)
 	var err error
 	if l.server.TLSConfig != nil {
@@ -226,6 +230,7 @@
 	l.Leave()
 	l.stopping.Store(true)
 	_ = l.socket.Close()
+	<-l.served // the last connections are accepted, and their requests awaited
 	// Once the server shuts down, it reads requests and drops them.
 	err := l.awaitRequests(limited)
 	if err == nil {
