An attempt that has ended reads what has arrived

Callers could get 504 though their targets had answered in time.

Cause: an attempt's end stopped all reads at once. Reads go on for 10 ms, less than the time between the last answers and the cut of connections with the shortest grace (33 ms). No request is written any more once the context has ended: it counts as not sent.

--- a/entry/internal/pooler/pooler.go
+++ b/entry/internal/pooler/pooler.go
@@ -34,6 +34,9 @@
 	// maxUnexpectedAnswers is how many answers to other requests are skipped before the request counts as broken.
 	maxUnexpectedAnswers = 2
 	bufferSize           = 4 << 10
+	// lateReads is how long an answer is read on once its attempt has ended: what has arrived by then may not be read yet,
+	// as the process is busy.
+	lateReads = 10 * time.Millisecond
 )
 
 // Outcome is how an attempt to send a request to a target ended.
@@ -99,7 +102,7 @@
 	idleUntil time.Time
 }
 
-// Send sends a request to a target and returns its answer. It returns at the latest when ctx ends. A failed attempt
+// Send sends a request to a target and returns its answer. It returns at the latest lateReads after ctx ends. A failed attempt
 // resets its connection; the error is an *UndeliveredError if bytes of the request were not acknowledged.
 func (p *Pooler) Send(ctx context.Context, address netip.AddrPort, r *Request) (*Answer, Outcome, error) {
 	c, err := p.open(ctx, address)
@@ -115,7 +118,11 @@
 			return nil, Unsent, &WithheldError{Reason: reason}
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	if err := ctx.Err(); err != nil {
+		p.keep(c)
+		return nil, Unsent, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Now().Add(lateReads)) })
 	encoded := encode(r)
 	p.addPending(c, len(encoded))
 	answer, outcome, err := c.roundTrip(r, encoded, &p.buffers)
