A late stop gives requests 20 ms to end before it cuts them

Callers saw their connections closed without an answer where an entry instance had stood still until after the time of the cut.

Cause: requests were cut at once.

--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -216,6 +216,9 @@
 // unusedGrace is how long a planned stop leaves unused connections open, for requests that are on their way.
 const unusedGrace = 100 * time.Millisecond
 
+// lateTime is how long requests may still end once their time is over: the process may have stood still until then.
+const lateTime = 20 * time.Millisecond
+
 // Stop implements kernel.Service: it refuses new connections and waits for the requests in progress and those that have
 // arrived. It cuts those that have not ended at the deadline Cut of the stop, and returns a CutError.
 func (l *Listener) Stop(ctx context.Context) error {
@@ -258,6 +261,7 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			time.Sleep(lateTime)
 			if l.socket.CloseIdle(true) == 0 {
 				return nil
 			}
