A context without deadlines of a stop keeps the full margin for the end of the process

Callers saw nothing of it; the check TestStopWaitsForSlowReaders/that_never_read, unchanged, fails since the times of a stop are worked out in one place.

Cause: the time between the last close and the end of all services was made shorter in proportion also where no grace period is known: 4.5 ms in place of 50 ms for a context of 0.5 s, less than the 5 ms for which the closes are awaited. Processes were not affected: with a grace of 1 s it is 8.3 ms.

--- a/core/stopper/stopper.go
+++ b/core/stopper/stopper.go
@@ -99,7 +99,9 @@
 	if !ok {
 		exit = now.Add(endless)
 	}
-	return Stopper{Timeout: exit.Sub(now)}.From(now)
+	d := Stopper{Timeout: exit.Sub(now)}.From(now)
+	d.Close = exit.Add(-closeMargin) // nothing is known of a grace period that shortens it
+	return d
 }
 
 // endless is longer than any process runs.
