--- a/entry/internal/carrier/carrier.go
+++ b/entry/internal/carrier/carrier.go
@@ -278,6 +278,7 @@
 	c.running.Add(1)
 	defer c.running.Add(-1)
 	j := &job{started: time.Now(), request: r}
+	j.leaving = c.departure.Age(j.started)
 	out := c.handle(w, j)
 	if j.body != nil {
 		defer j.body.Release()
--- a/entry/internal/carrier/job.go
+++ b/entry/internal/carrier/job.go
@@ -91,7 +91,6 @@
 	if !call.Deadline.IsZero() && call.Deadline.Before(j.deadline) {
 		j.deadline = call.Deadline
 	}
-	j.leaving = c.departure.Age(j.started)
 	if !c.departure.Admits(j.deadline) {
 		return c.refuseLeaving(j)
 	}
