A claim takes no longer than its request may, on the own interface

What callers saw: while the ledger could not be reached, a request that must not repeat waited 4 s for its claim, whatever its deadline; in a planned stop that was beyond the last answers, as the request had been taken for its deadline, and cut.

Cause: the wait for a claim had a time of its own.

Evidence: TestStopDoesNotWaitForTheLedgerBeyondTheCut on the code before: a request of 0.25 s is answered after 4 s, two seconds after Exit of its stop. Now it passes.

Why it works: the wait ends at the request's deadline, which is not after End for any request that a leaving instance takes.

--- a/entry/internal/forwarder/leave_test.go
+++ b/entry/internal/forwarder/leave_test.go
@@ -246,3 +246,21 @@
 	is.True(time.Since(started) < promptly)
 	is.Equal(target.runs.Load(), int32(0))
 }
+
+// Guards against a stop that waits for a ledger which can't be reached, until no time is left for what stops later.
+func TestStopDoesNotWaitForTheLedgerBeyondTheCut(t *testing.T) {
+	is := is.New(t)
+	f := newTestInstance(t, newLeaveTarget(t, answerAtOnce).address())
+	f.forwarder.Ledger = &hangingLedger{hangs: true}
+	d := stopper.Deadlines{Began: time.Now(), End: time.Now().Add(promptly), Cut: time.Now().Add(2 * promptly), Exit: time.Now().Add(4 * promptly)}
+	f.forwarder.Leave(d)
+	header := http.Header{
+		headerKey:              keyHeader(t)[headerKey],
+		refuser.HeaderDeadline: {time.Now().Add(promptly / 2).UTC().Format(time.RFC3339Nano)},
+	}
+	assertOutcome(t, f.send(t, http.MethodPost, "/rsvp", "x", header), http.StatusServiceUnavailable, refuser.NotRun)
+	ctx, cancel := stopper.NewContext(t.Context(), d)
+	defer cancel()
+	is.NoErr(f.forwarder.Stop(ctx))
+	is.True(time.Now().Before(d.Exit.Add(-promptly)))
+}
--- a/entry/internal/forwarder/once.go
+++ b/entry/internal/forwarder/once.go
@@ -36,7 +36,7 @@
 	claim := f.newClaim(j)
 	admitted, release := f.leaving.Admission(j.ctx, j.deadline)
 	defer release()
-	ctx, cancel := context.WithTimeout(admitted, claimTimeout)
+	ctx, cancel := context.WithDeadline(admitted, earliest(time.Now().Add(claimTimeout), j.deadline))
 	granted, err := f.Ledger.Claim(ctx, claim)
 	cancel()
 	if err != nil {
@@ -82,6 +82,14 @@
 	}
 }
 
+// earliest returns the earlier of two times.
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (f *Forwarder) settle(timeout time.Duration, s *wire.Settle, c *wire.Claim) {
 	s.Scope, s.Key, s.Holder, s.Token = c.GetScope(), c.GetKey(), c.GetHolder(), c.GetToken()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
