A planned stop of the own interface waits until claims are released

What callers saw: a request that must not repeat was refused as not run, for example because its instance leaves, and the repeat of it elsewhere was refused with 409: its key was still claimed.

Now the release is there.

Why it works: the stop counts claims that are being settled and waits for them, until Cut at the latest, so that a ledger which can't be reached takes no time from the services that stop later.

--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"chervilrail.example/core/leaver"
 	"chervilrail.example/core/listener"
 	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/core/stopper"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/entry/internal/directory"
 	"chervilrail.example/entry/internal/refuser"
@@ -77,6 +78,8 @@
 	stopping    atomic.Bool
 	leaving     *leaver.Leaver
 	running     atomic.Int64
+	// settling is the number of claims that are being settled.
+	settling    atomic.Int64
 	reportCount atomic.Int64
 	cancel      context.CancelFunc
 	done        chan struct{}
@@ -99,8 +102,8 @@
 	return nil
 }
 
-// Stop refuses new requests and waits for those in progress, so that a planned stop interrupts none. It returns a
-// StopTimeoutError if requests are still in progress when ctx ends.
+// Stop refuses new requests and waits for those in progress, so that a planned stop interrupts none, and for their claims
+// until the deadline Cut. It returns a StopTimeoutError if requests are still in progress when ctx ends.
 func (f *Forwarder) Stop(ctx context.Context) error {
 	if f.cancel == nil {
 		return nil
@@ -115,12 +118,21 @@
 		case <-ticker.C:
 		}
 	}
+	f.awaitSettled(stopper.FromContext(ctx).Cut)
 	f.cancel()
 	<-f.done
 	f.connections.closeAll()
 	return nil
 }
 
+// awaitSettled waits until all claims are settled, until a deadline at the latest: repeats of requests whose claims are not
+// settled are refused.
+func (f *Forwarder) awaitSettled(deadline time.Time) {
+	for f.settling.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(expireInterval)
+	}
+}
+
 // Health implements kernel.Service.
 func (f *Forwarder) Health() error {
 	if f.stopping.Load() {
--- a/entry/internal/forwarder/leave_test.go
+++ b/entry/internal/forwarder/leave_test.go
@@ -247,6 +247,40 @@
 	is.Equal(target.runs.Load(), int32(0))
 }
 
+// slowLedger grants every claim and takes a while to store what is settled.
+type slowLedger struct{ fakeLedger }
+
+func (l *slowLedger) Settle(ctx context.Context, s *wire.Settle) error {
+	select {
+	case <-time.After(promptly / 2):
+		return l.fakeLedger.Settle(ctx, s)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Guards against a key that stays claimed for a request which did not run, since the process ends before the ledger knows: the
+// caller's repeat is refused.
+func TestStopWaitsUntilClaimsAreReleased(t *testing.T) {
+	is := is.New(t)
+	shed := func(w http.ResponseWriter) bool {
+		w.Header().Set(refuser.HeaderOutcome, string(refuser.NotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	f := newTestInstance(t, newLeaveTarget(t, shed).address())
+	ledger := &slowLedger{}
+	f.forwarder.Ledger = ledger
+	assertOutcome(t, f.send(t, http.MethodPost, "/rsvp", "x", keyHeader(t)), http.StatusServiceUnavailable, refuser.NotRun)
+	ctx, cancel := stopper.NewContext(t.Context(), stopper.Stopper{Timeout: 4 * promptly}.From(time.Now()))
+	defer cancel()
+	is.NoErr(f.forwarder.Stop(ctx))
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	is.Equal(len(ledger.settled), 1)
+	is.True(ledger.settled[0].GetUnrun())
+}
+
 // Guards against a stop that waits for a ledger which can't be reached, until no time is left for what stops later.
 func TestStopDoesNotWaitForTheLedgerBeyondTheCut(t *testing.T) {
 	is := is.New(t)
--- a/entry/internal/forwarder/once.go
+++ b/entry/internal/forwarder/once.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		// The claim may have been granted and its answer lost. Nothing was sent and nothing will be, so the request
 		// certainly did not run. The key is released so that the caller's repeat can run.
-		go f.settle(backgroundSettleTimeout, &wire.Settle{Unrun: true}, claim)
+		f.settleLater(&wire.Settle{Unrun: true}, claim)
 		if leaver.Ends(admitted) {
 			return f.refuseLeaving(time.Now())
 		}
@@ -54,10 +54,10 @@
 	out := f.attempts(j, d)
 	switch out.ending {
 	case retrier.Unrun:
-		go f.settle(backgroundSettleTimeout, &wire.Settle{Unrun: true}, claim)
+		f.settleLater(&wire.Settle{Unrun: true}, claim)
 		return out.refusal
 	case retrier.Unknown:
-		go f.settle(backgroundSettleTimeout, &wire.Settle{Unknown: true}, claim)
+		f.settleLater(&wire.Settle{Unknown: true}, claim)
 		return out.refusal
 	case retrier.Answered:
 	}
@@ -90,6 +90,15 @@
 	return b
 }
 
+// settleLater settles a claim that its caller does not wait for.
+func (f *Forwarder) settleLater(s *wire.Settle, c *wire.Claim) {
+	f.settling.Add(1)
+	go func() {
+		defer f.settling.Add(-1)
+		f.settle(backgroundSettleTimeout, s, c)
+	}()
+}
+
 func (f *Forwarder) settle(timeout time.Duration, s *wire.Settle, c *wire.Claim) {
 	s.Scope, s.Key, s.Holder, s.Token = c.GetScope(), c.GetKey(), c.GetHolder(), c.GetToken()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -105,7 +114,7 @@
 func (f *Forwarder) settleAndRelay(w http.ResponseWriter, j *job, out result, c *wire.Claim) *refuser.Refusal {
 	head, err := io.ReadAll(io.LimitReader(out.response.Body, claimer.MaxBody+1))
 	if err != nil {
-		go f.settle(backgroundSettleTimeout, &wire.Settle{Unknown: true}, c)
+		f.settleLater(&wire.Settle{Unknown: true}, c)
 		out.release()
 		if refusal := f.leavingRefusal(time.Now(), j, retrier.Unknown); refusal != nil {
 			return refusal
@@ -122,7 +131,9 @@
 	outcome.Body = head[:min(len(head), claimer.MaxBody)]
 	outcome.Partial = len(head) > claimer.MaxBody
 	stored := make(chan struct{})
+	f.settling.Add(1)
 	go func() {
+		defer f.settling.Add(-1)
 		defer close(stored)
 		f.settle(settleTimeout, &wire.Settle{Outcome: outcome}, c)
 	}()
