An instance that stops tells the others of the last announcements on the own interface

What callers saw: a target announced that it leaves and got its acknowledgement from an instance that stops; the other instances went on sending requests to it until it announced itself to one of them, or was gone.

Cause: announcements are broadcast 25 ms later, and the stop ended these broadcasts, queued or in progress; nothing waits that long between the end of the target listener and that of the broadcaster.

Evidence: TestStopTellsOthersOfTheLastAnnouncements on the code before: the other instance was told of none.

Why it works: the stop broadcasts what is queued, and waits for broadcasts in progress until Cut, so that an instance which does not answer takes no time from the services that stop later (TestStopDoesNotWaitForSilentInstances).

--- a/entry/internal/broadcaster/broadcaster.go
+++ b/entry/internal/broadcaster/broadcaster.go
@@ -16,6 +16,7 @@
 	"chervilrail.example/core/dialer"
 	"chervilrail.example/core/kernel"
 	"chervilrail.example/core/quarantiner"
+	"chervilrail.example/core/stopper"
 	"chervilrail.example/core/wire"
 	"chervilrail.example/core/wire/wireconnect"
 	"chervilrail.example/entry/internal/directory"
@@ -57,6 +58,10 @@
 	client  *http.Client
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
+	// calls are the broadcasts in progress; cancelCalls ends them.
+	calls       sync.WaitGroup
+	callContext context.Context
+	cancelCalls context.CancelFunc
 	// exchanged holds the instances with which a full exchange was attempted since this instance started.
 	exchanged map[string]bool
 }
@@ -76,18 +81,28 @@
 	s.wake = make(chan struct{}, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
+	s.callContext, s.cancelCalls = context.WithCancel(context.Background())
 	s.group.Go(func() { s.broadcastLoop(ctx) })
 	s.group.Go(func() { s.exchangeLoop(ctx) })
 	return nil
 }
 
-// Stop ends the exchange and waits for calls in progress.
-func (s *Broadcaster) Stop(context.Context) error {
-	if s.cancel != nil {
-		s.cancel()
-		s.group.Wait()
-		s.client.CloseIdleConnections()
+// Stop ends the exchange, broadcasts what is queued, as it was acknowledged, and waits for broadcasts in progress, until the
+// deadline Cut at the latest.
+func (s *Broadcaster) Stop(ctx context.Context) error {
+	if s.cancel == nil {
+		return nil
 	}
+	s.cancel()
+	s.group.Wait()
+	limit := time.AfterFunc(time.Until(stopper.FromContext(ctx).Cut), s.cancelCalls)
+	defer limit.Stop()
+	if r := s.takePending(); len(r.GetRecords())+len(r.GetLosses()) > 0 {
+		s.sendAll(r)
+	}
+	s.calls.Wait()
+	s.cancelCalls()
+	s.client.CloseIdleConnections()
 	return nil
 }
 
@@ -131,7 +146,7 @@
 			return
 		case <-time.After(batchDelay):
 		}
-		s.sendAll(ctx, s.takePending())
+		s.sendAll(s.takePending())
 	}
 }
 
@@ -148,9 +163,9 @@
 }
 
 // sendAll calls all peers concurrently, so that one that hangs does not delay the others.
-func (s *Broadcaster) sendAll(ctx context.Context, r *wire.ShareRequest) {
+func (s *Broadcaster) sendAll(r *wire.ShareRequest) {
 	for _, address := range s.peers() {
-		s.group.Go(func() { _, _ = s.call(ctx, address, r) })
+		s.calls.Go(func() { _, _ = s.call(s.callContext, address, r) })
 	}
 }
 
