Responses between processes are bounded

Callers would see an instance or a controller end with all its requests: a process at the address of another that answers a call with bytes without end was read into memory until the call's time-out of 1 s to 4.5 s, as a response or as the text of an error.

Cause: handlers bound the requests that they read; clients had no bound for responses.

All clients of dialer now read at most 64 MiB of a response, whatever the protocol; reading on fails at once and ends the call.

A small response that unpacks to much more isn't bounded here; only our own processes compress.

--- a/core/dialer/dialer.go
+++ b/core/dialer/dialer.go
@@ -69,7 +69,7 @@
 	} else {
 		protocols.SetUnencryptedHTTP2(!d.HTTP1Only)
 	}
-	return &http.Client{Transport: transport}, nil
+	return &http.Client{Transport: boundedTransport{transport}}, nil
 }
 
 func (d *Dialer) idleTimeout() time.Duration {
