A record with too many slots is not stored

Callers would see instance after instance killed for its memory: slots are divided among instances one by one, and a record with 2^31-1 of them takes all memory of every instance that reads the list, again after each restart.

Cause: the bound of 65,536 slots is checked where a target announces itself; a record that another process passes on was stored unchecked.

Registrar.Merge, which all go through, refuses such a record now.

Evidence: before, TestRecordWithTooManySlotsIsNotStored failed, and the watcher's TestOddRecordsStopNoOthers was killed after 34 s by its record with 2^31-1 slots; both hold.

--- a/core/registrar/claim.go
+++ b/core/registrar/claim.go
@@ -80,7 +80,7 @@
 	if g.Merge(now, r) {
 		return true
 	}
-	if !known && !held || !encodable(r) || known && sameIncarnation(old.record, r) && hasLeft(old.record) {
+	if !known && !held || !storable(r) || known && sameIncarnation(old.record, r) && hasLeft(old.record) {
 		return false
 	}
 	generation, heardAt := uint64(0), time.Time{}
--- a/core/registrar/odd_test.go
+++ b/core/registrar/odd_test.go
@@ -66,3 +66,18 @@
 		is.New(t).NoErr(CheckFormat(r))
 	}
 }
+
+// Guards against instances that are killed for their memory, again and again, by a record that no check at the edge has
+// seen: slots are divided one by one.
+func TestRecordWithTooManySlotsIsNotStored(t *testing.T) {
+	is := is.New(t)
+	var g Registrar
+	now := time.Unix(1000, 0)
+	odd := record(5, 1, ready)
+	odd.Slots = math.MaxInt32
+	is.True(!g.Merge(now, odd))
+	is.True(!g.Announce(now, odd))
+	assertReadyCount(t, &g, now, 0)
+	is.True(g.Merge(now, record(5, 1, ready)))
+	assertReadyCount(t, &g, now, 1)
+}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -125,6 +125,10 @@
 	return true
 }
 
+// storable reports whether a record may be stored, whoever passed it on. Instances divide slots one by one: for a record
+// with too many they would take all their memory.
+func storable(r *wire.Record) bool { return encodable(r) && r.GetSlots() <= maxSlots }
+
 func checkAgainstCatalogue(c *cataloguer.Catalogue, r *wire.Record) error {
 	service, ok := c.Service(r.GetService())
 	if !ok {
@@ -141,10 +145,10 @@
 }
 
 // Merge stores a record with a new lease and reports whether it did. It does not if the stored record of the same
-// target is as new or newer, if a target of a higher generation holds the address, if MaxTargets is reached, or if no
-// message could hold the record.
+// target is as new or newer, if a target of a higher generation holds the address, if MaxTargets is reached, or if the
+// record is not storable.
 func (g *Registrar) Merge(now time.Time, r *wire.Record) bool {
-	if !encodable(r) {
+	if !storable(r) {
 		return false
 	}
 	if g.registrations == nil {
