Move the callers that keep sending to the platform's stand-ins

They are of use to the soak as well. Further routes of a plan, and the attempt in a target's record of a run, are for it, too.

--- a/standin/internal/trials/grace_test.go
+++ b/standin/internal/trials/grace_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,9 +16,7 @@
 
 	"github.com/matryer/is"
 
-	"chervilrail.example/core/pipeliner"
 	"chervilrail.example/platform/speaker"
-	"chervilrail.example/platform/translator"
 	"chervilrail.example/standin/internal/starter"
 )
 
@@ -30,65 +29,6 @@
 	limitSlack = 50 * time.Millisecond
 )
 
-// attempt is a request of a persistentCaller and what its caller saw of it.
-type attempt struct {
-	id     string
-	sentAt time.Time
-	took   time.Duration
-	// status is zero if there was no whole answer.
-	status int
-	err    error
-}
-
-// persistentCaller sends one request after the other to one instance, over kept connections as long as they are open, until
-// the process is gone.
-type persistentCaller struct {
-	name     string
-	path     string
-	address  string
-	deadline time.Duration
-	conn     *pipeliner.Conn
-	attempts []attempt
-}
-
-// run sends requests until no connection is accepted any more.
-func (c *persistentCaller) run(t *testing.T) {
-	for {
-		if c.conn == nil {
-			conn, err := (&pipeliner.Pipeliner{}).Dial(t.Context(), c.address)
-			if err != nil {
-				return
-			}
-			c.conn = conn
-		}
-		if c.send().status != http.StatusOK {
-			time.Sleep(arrivalTime)
-		}
-	}
-}
-
-// send sends a request and receives its answer.
-func (c *persistentCaller) send() attempt {
-	a := attempt{id: c.name + "-" + strconv.Itoa(len(c.attempts)), sentAt: time.Now()}
-	_ = c.conn.SetDeadline(a.sentAt.Add(c.deadline))
-	a.err = c.conn.Post(c.path, fmt.Sprintf("%s: %s\r\n%s: %d\r\n", translator.HeaderAttemptID, a.id,
-		translator.HeaderDeadline, c.deadline.Milliseconds()), payment, make([]byte, payment))
-	var answer *pipeliner.Answer
-	if a.err == nil {
-		answer, a.err = c.conn.Receive()
-	}
-	if a.err == nil {
-		a.status = answer.Status
-	}
-	a.took = time.Since(a.sentAt)
-	if a.err != nil || answer.Last {
-		_ = c.conn.Close()
-		c.conn = nil
-	}
-	c.attempts = append(c.attempts, a)
-	return a
-}
-
 // graceCase is a planned stop under callers whose requests take long. The other times are parts of the grace period.
 type graceCase struct {
 	name  string
@@ -133,27 +73,26 @@
 		t.Run(g.name, func(t *testing.T) {
 			t.Parallel()
 			f := startWorkers(t, g)
-			callers, stoppedAt := f.stopUnderPersistentCallers(t, g)
-			f.checkBrokenOff(t, callers, stoppedAt, share(g.grace, g.limit))
+			attempts, stoppedAt := f.stopUnderPersistentCallers(t, g)
+			f.checkBrokenOff(t, attempts, stoppedAt, share(g.grace, g.limit))
 		})
 	}
 }
 
 // stopUnderPersistentCallers stops the only entry instance while callers send. It returns the time of the stop.
-func (f *fleet) stopUnderPersistentCallers(t *testing.T, g graceCase) ([]*persistentCaller, time.Time) {
+func (f *fleet) stopUnderPersistentCallers(t *testing.T, g graceCase) ([]*speaker.Attempt, time.Time) {
 	t.Helper()
-	var callers []*persistentCaller
+	results := make([][]*speaker.Attempt, persistentCallers)
 	var group sync.WaitGroup
 	address := net.JoinHostPort(f.Entries[0].Address.String(), strconv.Itoa(starter.CallerPort))
 	for i := range persistentCallers {
-		c := &persistentCaller{
-			name: fmt.Sprintf("p%d", i), path: fmt.Sprintf("/once/%d?work=%v", i, g.workOf(i)), address: address,
-			deadline: 2 * g.grace,
-		}
-		callers = append(callers, c)
+		c := &speaker.Persistent{Name: fmt.Sprintf("p%d", i), Instance: address, Next: func(int) speaker.Upload {
+			path := fmt.Sprintf("/once/%d?work=%v", i, g.workOf(i))
+			return speaker.Upload{Path: path, Deadline: 2 * g.grace, Size: payment}
+		}}
 		group.Go(func() {
 			time.Sleep(share(g.grace, g.work) * time.Duration(i) / persistentCallers) // so that some begin at any time
-			c.run(t)
+			results[i] = c.Run(t.Context())
 		})
 	}
 	time.Sleep(share(g.grace, 1.5*g.work))
@@ -162,33 +101,31 @@
 	is.New(t).NoErr(f.Entries[0].Wait(g.grace))
 	t.Logf("the process ended %v after SIGTERM", time.Since(stoppedAt))
 	group.Wait()
-	return callers, stoppedAt
+	return slices.Concat(results...), stoppedAt
 }
 
 // checkBrokenOff fails if a request ran and has no whole answer of its target, though neither its limit nor its deadline was
 // reached.
-func (f *fleet) checkBrokenOff(t *testing.T, callers []*persistentCaller, stoppedAt time.Time, limit time.Duration) {
+func (f *fleet) checkBrokenOff(t *testing.T, attempts []*speaker.Attempt, stoppedAt time.Time, limit time.Duration) {
 	t.Helper()
 	runs := map[string]int{}
 	for _, target := range f.targets {
 		maps.Copy(runs, target.Runs())
 	}
 	served, late, refused, broken := 0, 0, 0, 0
-	for _, c := range callers {
-		for _, a := range c.attempts {
-			switch {
-			case a.status == http.StatusOK:
-				served++
-				if a.sentAt.After(stoppedAt) {
-					late++
-				}
-			case runs[a.id] == 0:
-				refused++
-			case a.took < limit-limitSlack:
-				broken++
-				t.Logf("%s sent %v after SIGTERM, ended %v after it: status %d, %v", a.id, a.sentAt.Sub(stoppedAt),
-					a.sentAt.Add(a.took).Sub(stoppedAt), a.status, describeEnd(a.err))
+	for _, a := range attempts {
+		switch {
+		case a.Status == http.StatusOK && a.Err == nil:
+			served++
+			if a.SentAt.After(stoppedAt) {
+				late++
 			}
+		case runs[a.ID] == 0:
+			refused++
+		case a.Took() < limit-limitSlack:
+			broken++
+			t.Logf("%s sent %v after SIGTERM, ended %v after it: status %d, %v", a.ID, a.SentAt.Sub(stoppedAt),
+				a.EndedAt.Sub(stoppedAt), a.Status, describeEnd(a.Err))
 		}
 	}
 	t.Logf("%d served, %d of them sent after SIGTERM; %d did not run", served, late, refused)
