The soak draws the grace period, limits and long work, and its callers send on

Callers of an entry instance that left on SIGTERM saw requests broken off (closed, or an own 504) that it had taken and that had run. The soak did not see it: its grace was 6 s, its limits 2 s and 4 s, its work 15 ms, and its callers followed the look-ups to other instances.

A run now draws from its seed a grace of 1 s to 20 s, four routes to a service of long work with limits of 0.15 to 1.6 times the grace, which changes of the plan shorten and lengthen (0.5 to 1.5 times), and POST with work of up to 0.95 times the limit, some with bodies that arrive late and in parts. Eight callers for each instance send on over kept connections until its process is gone. SIGTERM comes during a start, twice, after SIGCONT, before a suspension, beside SIGHUP, and to all instances in turn or overlapping. The limit of a request is the shortest that its instance had in force around its arrival, by its log.

Pipelines read faster with a grace below 6 s, in proportion: what is due could not be read in it otherwise. At most three of the four instances leave as planned at the same time, since stops now last as long as the grace.

--- a/standin/internal/cli/soak.go
+++ b/standin/internal/cli/soak.go
@@ -78,8 +78,9 @@
 		return 0, err
 	}
 	sent, complete := s.Counts()
-	fmt.Printf("seed %d: %d guarantees violated, %d of %d requests served, %d lags of plans checked, logs in %s\n",
-		seed, len(violations), complete, sent, s.LagsChecked(), folder)
+	late, served := s.LongWork()
+	fmt.Printf("seed %d: %d guarantees violated, %d of %d requests served, %d of %d long ones while an instance left, "+
+		"%d lags of plans checked, logs in %s\n", seed, len(violations), complete, sent, served, late, s.LagsChecked(), folder)
 	for _, line := range violations {
 		fmt.Println("  " + line)
 	}
--- a/standin/internal/soaker/checker.go
+++ b/standin/internal/soaker/checker.go
@@ -72,25 +72,13 @@
 func (w *checker) checkAnswer(a speaker.Answer, method, path string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.nonRepeatable == nil {
-		w.nonRepeatable, w.notRun = map[string]bool{}, map[string]int{}
-	}
 	w.sent++
 	kept := a
 	kept.Body = ""
 	w.answers = append(w.answers, kept)
-	if method == http.MethodPost {
-		w.nonRepeatable[a.ID] = true
-	}
-	switch a.Status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		w.notRun[a.ID] = a.Status
-	case http.StatusNotFound, http.StatusBadRequest:
-		w.note("%s was denied with %d", a.ID, a.Status)
-	case http.StatusOK:
-		if a.Err == nil && !a.Complete {
-			w.note("%s received status 200 without the signature of a target", a.ID)
-		}
+	w.recordPromise(a, method == http.MethodPost)
+	if a.Status == http.StatusOK && a.Err == nil && !a.Complete {
+		w.note("%s received status 200 without the signature of a target", a.ID)
 	}
 	if !a.Complete {
 		return
@@ -104,6 +92,23 @@
 	}
 }
 
+// recordPromise records whether a request may run again and whether its answer says that it did not run, while the caller
+// holds mu.
+func (w *checker) recordPromise(a speaker.Answer, once bool) {
+	if w.nonRepeatable == nil {
+		w.nonRepeatable, w.notRun = map[string]bool{}, map[string]int{}
+	}
+	if once {
+		w.nonRepeatable[a.ID] = true
+	}
+	switch a.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		w.notRun[a.ID] = a.Status
+	case http.StatusNotFound, http.StatusBadRequest:
+		w.note("%s was denied with %d", a.ID, a.Status)
+	}
+}
+
 func (w *checker) recordAccepted(version int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/standin/internal/soaker/disturbances.go
+++ b/standin/internal/soaker/disturbances.go
@@ -37,6 +37,29 @@
 	}
 }
 
+// add records a disturbance that has ended.
+func (d *disturbances) add(name string, from, to time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.spans == nil {
+		d.spans = map[string][]*span{}
+	}
+	d.spans[name] = append(d.spans[name], &span{from, to})
+}
+
+// last returns when the last of the disturbances began that began between two times, and whether there is one.
+func (d *disturbances) last(name string, from, to time.Time) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out time.Time
+	for _, s := range d.spans[name] {
+		if !s.from.Before(from) && !s.from.After(to) && s.from.After(out) {
+			out = s.from
+		}
+	}
+	return out, !out.IsZero()
+}
+
 // between reports whether there was a disturbance at some moment between two times.
 func (d *disturbances) between(name string, from, to time.Time) bool {
 	d.mu.Lock()
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
-	"os/exec"
 	"syscall"
 	"time"
 
@@ -17,8 +15,6 @@
 )
 
 const (
-	// stopTimeout is the time from SIGTERM within which a process has to be gone.
-	stopTimeout = 6 * time.Second
 	// restartDelay is the time between the kill and the restart of a process.
 	restartDelay = 300 * time.Millisecond
 	// linkDelayTime is how long a delayed connection holds each chunk of data.
@@ -39,15 +35,20 @@
 	retired bool
 }
 
-func (s *Soak) startTarget() error {
+// startTarget starts a target of a service.
+func (s *Soak) startTarget(name string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startedTargets++
+	slots := targetSlots
+	if name == workService {
+		slots = workerSlots
+	}
 	relay := &relayer.Relay{}
 	t := &relayedTarget{relay: relay, Target: &speaker.Target{
-		ID: fmt.Sprintf("t%d", s.startedTargets), Service: service,
+		ID: fmt.Sprintf("t%d", s.startedTargets), Service: name,
 		Zone:  s.system.Places[s.startedTargets%len(s.system.Places)].Zone,
-		Slots: 3, Work: targetWork, Controllers: s.system.PlatformURLs(),
+		Slots: slots, Work: targetWork, Controllers: s.system.PlatformURLs(),
 		MapAddress: func(address string) (string, error) {
 			relay.Target = address
 			return relay.Start("127.0.0.1")
@@ -63,14 +64,19 @@
 	return append([]*relayedTarget{}, s.targets...)
 }
 
-// pickTarget returns a target that is not retired, chosen by index modulo their number. With retired set it marks the
-// target as retired.
+// pickTarget returns a target of the first service, as pickOf does.
 func (s *Soak) pickTarget(index int, retired bool) *relayedTarget {
+	return s.pickOf(service, index, retired)
+}
+
+// pickOf returns a target of a service that is not retired, chosen by index modulo their number. With retired set it marks
+// the target as retired.
+func (s *Soak) pickOf(name string, index int, retired bool) *relayedTarget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var candidates []*relayedTarget
 	for _, t := range s.targets {
-		if !t.retired {
+		if t.Service == name && !t.retired {
 			candidates = append(candidates, t)
 		}
 	}
@@ -121,8 +127,13 @@
 
 func (s *Soak) inject(ctx context.Context, f fault) {
 	switch f.kind {
-	case entryKill, entryStop, entryFreeze, entryReload:
+	case entryKill, entryStop, entryFreeze, entryReload,
+		entryStopTwice, entryStopStarting, entryStopThawed, entryStopFrozen, entryStopReloading:
 		s.injectEntryFault(f)
+	case entryRestartAll:
+		s.restartAll(f)
+	case workerKill, workerLeave:
+		s.injectWorkerFault(ctx, f)
 	case controllerStop, controllerKill, controllerFreeze, controllerWipe:
 		s.injectControllerFault(f)
 	case controllerKillAll:
@@ -161,10 +172,8 @@
 		p.Kill()
 		time.Sleep(restartDelay)
 		s.checkStarted(name, s.startEntry(i))
-	case entryStop:
-		s.stops.record(s.callerAddress(i))
-		s.stopEntry(i, p)
-		s.checkStarted(name, s.startEntry(i))
+	case entryStop, entryStopTwice, entryStopStarting, entryStopThawed, entryStopFrozen, entryStopReloading:
+		s.stopAndStart(f, i)
 	case entryFreeze:
 		defer s.unplanned.begin(s.callerAddress(i))()
 		s.freeze(p, f.duration)
@@ -176,17 +185,6 @@
 	}
 }
 
-// stopEntry stops an entry instance as planned. Its exit status may tell that requests were cut if a caller did not read.
-func (s *Soak) stopEntry(i int, p *starter.Process) {
-	p.Terminate()
-	cut := s.sessions.addMute(s.callerAddress(i), 0) > 0
-	err := p.Wait(stopTimeout)
-	var exit *exec.ExitError
-	if err != nil && (!cut || !errors.As(err, &exit) || exit.ExitCode() != 1) {
-		s.checker.fail("planned stop of %s failed: %v", s.callerAddress(i), err)
-	}
-}
-
 // freeze suspends an entry instance for a duration. Its requests in flight may reach targets late.
 func (s *Soak) freeze(p *starter.Process, duration time.Duration) {
 	s.checker.recordFreeze()
@@ -258,16 +256,11 @@
 	defer s.release(name)
 	defer s.controllerFaults.begin(anyController)()
 	p := s.system.Controllers[i]
-	address := s.system.PlatformAddress(i)
 	if f.kind == controllerStop {
-		s.stops.record(address)
-		if err := p.Stop(stopTimeout); err != nil {
-			s.checker.fail("planned stop of %s failed: %v", name, err)
-		}
-		s.checkStarted(name, s.system.StartPlatformController(i, false))
+		s.stopController(f, i)
 		return
 	}
-	defer s.unplanned.begin(address)()
+	defer s.unplanned.begin(s.system.PlatformAddress(i))()
 	if f.kind == controllerFreeze {
 		p.Freeze()
 		time.Sleep(f.duration)
@@ -318,7 +311,7 @@
 // injectTargetFault kills a target or makes it leave, and starts another one in its place.
 func (s *Soak) injectTargetFault(ctx context.Context, f fault) {
 	t := s.pickTarget(f.index, true)
-	s.checkStarted("target", s.startTarget())
+	s.checkStarted("target", s.startTarget(service))
 	if f.kind == targetKill {
 		s.killTarget(t)
 		return
--- a/standin/internal/soaker/lookups.go
+++ b/standin/internal/soaker/lookups.go
@@ -44,7 +44,7 @@
 	for _, e := range session.Exchanges {
 		cut := e.Status != 0 && e.Err != nil || e.Status == 0 && !e.Behind && e.EndedAt.Sub(e.SentAt) > lossSlack
 		if cut && !e.Left && !e.Unread && !s.excused(e, nil) &&
-			s.stops.between(e.Instance, e.EndedAt.Add(-stopTimeout-stopTail), e.EndedAt) {
+			s.stops.between(e.Instance, e.EndedAt.Add(-s.workload.grace-stopTail), e.EndedAt) {
 			lost = append(lost, describeLoss(e, nil))
 		}
 	}
--- a/standin/internal/soaker/losses.go
+++ b/standin/internal/soaker/losses.go
@@ -75,7 +75,7 @@
 		}
 		line := describeLoss(e, passed)
 		switch {
-		case s.stops.between(e.Instance, e.EndedAt.Add(-stopTimeout-stopTail), e.EndedAt):
+		case s.stops.between(e.Instance, e.EndedAt.Add(-s.workload.grace-stopTail), e.EndedAt):
 			found.stops = append(found.stops, line)
 		case s.reloads.between(e.Instance, e.SentAt.Add(-reloadTime), e.EndedAt):
 			found.reloads = append(found.reloads, line)
@@ -93,7 +93,7 @@
 	if len(lost) <= limit {
 		return
 	}
-	path := filepath.Join(s.Folder, "lost-"+around+".log")
+	path := filepath.Join(s.Folder, "lost-"+strings.ReplaceAll(around, " ", "-")+".log")
 	if err := os.WriteFile(path, []byte(strings.Join(lost, "\n")+"\n"), fileMode); err != nil {
 		s.checker.fail("%s not written: %v", path, err)
 	}
--- a/standin/internal/soaker/pipelines.go
+++ b/standin/internal/soaker/pipelines.go
@@ -133,7 +133,7 @@
 func (s *Soak) pipeline(ctx context.Context, i int) {
 	habit := pipelineHabits[i%len(pipelineHabits)]
 	fill := strconv.Itoa(habit.Fill)
-	p := &speaker.Pipeline{Client: s.client(i), Habit: habit.Habit, Received: func(e *speaker.Exchange) {
+	p := &speaker.Pipeline{Client: s.client(i), Habit: s.workload.paced(habit.Habit), Received: func(e *speaker.Exchange) {
 		s.checker.checkPipelined(e, fill)
 		e.Body = ""
 	}}
@@ -192,7 +192,7 @@
 	open, err := silencer.Open(int(s.entryPIDs[i].Load()), instance)
 	now := time.Now()
 	if err != nil {
-		if !s.disturbances.between(address, now.Add(-2*stopTimeout), now) {
+		if !s.disturbances.between(address, now.Add(-2*s.workload.grace), now) {
 			s.checker.fail("connections of %s not listed: %v", address, err)
 		}
 		return
--- a/standin/internal/soaker/schedule.go
+++ b/standin/internal/soaker/schedule.go
@@ -82,6 +82,19 @@
 	controllerStopSeeds  = 3
 	controllerStopGap    = 3 * time.Second
 	controllerStopSpread = 10 * time.Second
+	// The same gap between two stops of stopKinds, and between two restarts of all instances. They excuse instances that work
+	// by an older plan, so of signalSeeds seeds one has only the former, one only the latter, and one both.
+	signalSeeds      = 7
+	signalsOnly      = 3
+	restartAllOnly   = 0
+	signalsAndAll    = 4
+	signalsGap       = time.Second
+	signalsSpread    = 4 * time.Second
+	restartAllGap    = 3 * time.Second
+	restartAllSpread = 25 * time.Second
+	// The same gap between two faults of targets whose requests take long.
+	workerGap    = 2 * time.Second
+	workerSpread = 8 * time.Second
 	// limitHold is how long a limit holds beyond the duration of its fault: it counts only after some seconds.
 	limitHold = 7 * time.Second
 )
@@ -95,6 +108,9 @@
 	stopStream
 	reloadStream
 	controllerStopStream
+	signalStream
+	restartAllStream
+	workerStream
 )
 
 // fault is one entry of a schedule.
@@ -131,35 +147,44 @@
 		out = append(out,
 			scheduleOne(seed, controllerStopStream, length, controllerStop, controllerStopGap, controllerStopSpread)...)
 	}
+	if n := seed % signalSeeds; n == signalsOnly || n == signalsAndAll {
+		out = append(out, scheduleSome(seed, signalStream, length, stopKinds, signalsGap, signalsSpread)...)
+	}
+	if n := seed % signalSeeds; n == restartAllOnly || n == signalsAndAll {
+		out = append(out,
+			scheduleOne(seed, restartAllStream, length, entryRestartAll, restartAllGap, restartAllSpread)...)
+	}
 	return slices.SortedStableFunc(slices.Values(slices.Concat(
 		out, scheduleStatements(seed, length),
 		scheduleOne(seed, silenceStream, length, controlSilence, silenceGap, silenceSpread),
 		scheduleOne(seed, foreignStream, length, foreignHeartbeat, foreignGap, foreignSpread),
 		scheduleOne(seed, stopStream, length, entryStop, stopGap, stopSpread),
+		scheduleSome(seed, workerStream, length, workerKinds, workerGap, workerSpread),
 		scheduleOne(seed, reloadStream, length, entryReload, reloadGap, reloadSpread))),
 		func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 }
 
-// scheduleStatements generates the statements of targets, from random numbers of their own, so that the other faults of a
-// seed do not depend on them.
+// scheduleStatements generates the statements of targets.
 func scheduleStatements(seed uint64, length time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, statementStream))
+	return slices.DeleteFunc(scheduleSome(seed, statementStream, length, statements, statementGap, statementSpread),
+		func(f fault) bool { return f.kind == targetLimit && f.at+f.duration+limitHold > length })
+}
+
+// scheduleSome generates faults of some kinds, from a stream of random numbers of its own, so that the other faults of a
+// seed do not depend on them.
+func scheduleSome(seed, stream uint64, length time.Duration, some []kind, gap, spread time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, stream))
 	var out []fault
-	for at := statementGap; at < length; at += statementGap + time.Duration(random.Int64N(int64(statementSpread))) {
-		f := fault{
-			at: at, kind: statements[random.IntN(len(statements))], index: random.IntN(1 << 16),
+	for at := gap; at < length; at += gap + time.Duration(random.Int64N(int64(spread))) {
+		out = append(out, fault{
+			at: at, kind: some[random.IntN(len(some))], index: random.IntN(1 << 16),
 			duration: minDuration + time.Duration(random.Int64N(int64(durationSpread))),
-		}
-		if f.kind == targetLimit && at+f.duration+limitHold > length {
-			continue
-		}
-		out = append(out, f)
+		})
 	}
 	return out
 }
 
-// scheduleOne generates faults of one kind, from a stream of random numbers of its own, so that the other faults of a seed
-// do not depend on them.
+// scheduleOne generates faults of one kind, from a stream of its own as well.
 func scheduleOne(seed, stream uint64, length time.Duration, one kind, gap, spread time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, stream))
 	var out []fault
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -21,6 +21,7 @@
 	targets     = 8
 	callers     = 8
 	service     = "listings"
+	targetSlots = 3
 	targetWork  = 15 * time.Millisecond
 	// callerPause is the minimum time between two requests of a caller.
 	callerPause = 10 * time.Millisecond
@@ -36,11 +37,15 @@
 	Length   time.Duration
 	Programs string
 	Folder   string
+	// Grace is the time from SIGTERM to the kill; zero stands for one that is drawn from the seed.
+	Grace time.Duration
 	// Net selects the loopback addresses, so that several runs can take place at the same time.
 	Net byte
 	// Print receives one line for each fault.
 	Print func(line string)
 
+	workload       workload
+	attempts       attempts
 	system         *starter.PlatformSystem
 	checker        checker
 	mu             sync.Mutex
@@ -54,13 +59,19 @@
 	disturbances disturbances
 	linkFaults   disturbances
 	// stops, reloads and unplanned are the times of SIGTERM, of SIGHUP and of the other faults of entry instances and
-	// controllers, by their addresses for callers; targetKills are the times at which targets were killed.
+	// controllers, by their addresses for callers. stopping are the times from SIGTERM to the end of the process, targetKills
+	// those at which targets were killed.
 	stops       disturbances
 	reloads     disturbances
+	stopping    disturbances
 	unplanned   disturbances
 	targetKills disturbances
 	sessions    sessions
-	entryPIDs   [entries]atomic.Int64
+	// stalls are the times in which the machine did not run this process.
+	stalls disturbances
+	// leaving is the number of entry instances that leave as planned.
+	leaving   int
+	entryPIDs [entries]atomic.Int64
 	// controllerFaults are the times of the faults of all controllers, under the name anyController.
 	controllerFaults disturbances
 }
@@ -79,6 +90,22 @@
 	return s.checker.lagsChecked
 }
 
+// LongWork returns how many requests that take long were sent to instances that had begun to leave, and how many of them
+// received the complete answer of a target.
+func (s *Soak) LongWork() (sent, complete int) {
+	s.attempts.mu.Lock()
+	defer s.attempts.mu.Unlock()
+	for _, a := range s.attempts.list {
+		if s.stopping.between(a.Instance, a.SentAt, a.SentAt) {
+			sent++
+			if a.Complete {
+				complete++
+			}
+		}
+	}
+	return sent, complete
+}
+
 // Run runs the schedule and returns the violated guarantees. It returns a *StartError if the system does not serve
 // requests before the first fault.
 func (s *Soak) Run(ctx context.Context) ([]string, error) {
@@ -86,7 +113,9 @@
 		return nil, err
 	}
 	s.reserved = map[string]bool{}
-	s.system = &starter.PlatformSystem{System: &starter.System{
+	s.workload = drawWorkload(s.Seed, s.Grace)
+	s.Print(fmt.Sprintf("grace %s, first limits %s", s.workload.grace, s.workload.limits))
+	s.system = &starter.PlatformSystem{Grace: s.workload.grace, System: &starter.System{
 		Programs: s.Programs, Folder: s.Folder, Net: s.Net, Places: []starter.Place{
 			{Region: "almaty", Zone: "almaty-a"}, {Region: "astana", Zone: "astana-a"}, {Region: "almaty", Zone: "almaty-b"},
 		},
@@ -96,7 +125,11 @@
 		return nil, err
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
+	s.group.Go(func() { s.watchMachine(loadCtx) })
 	s.group.Go(func() { s.changePlans(loadCtx) })
+	for i := range entries * instanceCallers {
+		s.group.Go(func() { s.keepSending(loadCtx, i/instanceCallers, i%instanceCallers) })
+	}
 	for i := range callers {
 		s.group.Go(func() { s.sendRequests(loadCtx, i) })
 	}
@@ -115,6 +148,7 @@
 	s.group.Wait()
 	s.checkEnd(ctx)
 	s.checkExchanges(s.passages())
+	s.checkAttempts(s.workRuns(), s.instancePlans())
 	s.checkStatements(s.checker.answers)
 	for i := range s.system.Entries {
 		s.checkPlans(i)
@@ -130,15 +164,19 @@
 	for i, p := range s.system.Entries {
 		s.entryPIDs[i].Store(int64(p.PID()))
 	}
-	for range targets {
-		if err := s.startTarget(); err != nil {
+	for i := range targets + workers {
+		name := service
+		if i >= targets {
+			name = workService
+		}
+		if err := s.startTarget(name); err != nil {
 			return err
 		}
 	}
 	operator := s.operator()
 	c := s.client(0)
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(callerPause) {
-		if operator.Put(ctx, speaker.Plan(1, 0, service)) == http.StatusOK &&
+		if operator.Put(ctx, s.workload.plan(1)) == http.StatusOK &&
 			c.Send(ctx, http.MethodGet, "/safe/0", "k", "").Complete {
 			s.checker.acked = 1
 			return nil
@@ -186,7 +224,7 @@
 	operator := s.operator()
 	for version := 2; ctx.Err() == nil; version++ {
 		s.awaitUp(ctx)
-		plan := speaker.Plan(version, version-1, service)
+		plan := s.workload.plan(version)
 		for {
 			status := operator.Put(ctx, plan)
 			if status == http.StatusOK {
--- a/standin/internal/soaker/statements.go
+++ b/standin/internal/soaker/statements.go
@@ -44,8 +44,10 @@
 		t.Accept()
 	case targetsRejectAll:
 		for _, t := range s.allTargets() {
-			t.Reject(allRejectAsks)
-			defer t.Accept()
+			if t.Service == service {
+				t.Reject(allRejectAsks)
+				defer t.Accept()
+			}
 		}
 		time.Sleep(allRejectTime)
 	case targetLimit:
@@ -62,7 +64,7 @@
 // announce their leave later, the others end without a word.
 func (s *Soak) leaveByAnswers(ctx context.Context, f fault) {
 	t := s.pickTarget(f.index, true)
-	s.checkStarted("target", s.startTarget())
+	s.checkStarted("target", s.startTarget(service))
 	t.SetLeaving(true)
 	time.Sleep(leaveTime)
 	if f.index%2 == 0 {
--- a/standin/internal/soaker/targets.go
+++ b/standin/internal/soaker/targets.go
@@ -30,7 +30,7 @@
 func (s *Soak) unusedSince(began time.Time) []*relayedTarget {
 	var out []*relayedTarget
 	for _, t := range s.allTargets() {
-		if !t.retired && !t.LastRequest().After(began) {
+		if t.Service == service && !t.retired && !t.LastRequest().After(began) {
 			out = append(out, t)
 		}
 	}
--- a/standin/internal/trials/soak_test.go
+++ b/standin/internal/trials/soak_test.go
@@ -12,15 +12,28 @@
 	"chervilrail.example/standin/internal/soaker"
 )
 
-// soakRuns are the runs that every change has to pass: the first few seeds, and seeds that have violated a guarantee.
+// formerGrace is the grace period of the runs whose seeds violated a guarantee with it.
+const formerGrace = 6 * time.Second
+
+// soakRuns are the runs that every change has to pass: the first few seeds, and seeds that have violated a guarantee. The
+// grace period is drawn from the seed if it is zero.
 var soakRuns = []struct {
-	seed   uint64
-	length time.Duration
-}{{1, 6 * time.Second}, {2, 6 * time.Second}, {103, 14 * time.Second}, {202, 12 * time.Second}, {215, 12 * time.Second}}
+	seed          uint64
+	length, grace time.Duration
+}{
+	{1, 6 * time.Second, formerGrace},
+	{2, 6 * time.Second, formerGrace},
+	{103, 14 * time.Second, formerGrace},
+	{202, 12 * time.Second, formerGrace},
+	{215, 12 * time.Second, formerGrace},
+	{301, 5 * time.Second, 0},
+	{302, 5 * time.Second, 0},
+	{303, 4 * time.Second, 0},
+}
 
-// Processes are killed, frozen, stopped and restarted while targets are killed or leave, connections fail and the plan
-// changes, according to a seed. Guards against wrong or incomplete answers, answers that a planned stop discards, requests
-// that run although they were answered as not run, requests that run twice, and lost changes.
+// Guards against wrong or incomplete answers, answers that a planned stop discards, long requests that it breaks off, requests
+// that run although they were answered as not run, requests that run twice, and lost changes, while processes are killed,
+// frozen, stopped and restarted, targets are killed or leave, connections fail and the plan changes, according to a seed.
 func TestSoak(t *testing.T) {
 	for _, run := range soakRuns {
 		t.Run(fmt.Sprint(run.seed), func(t *testing.T) {
@@ -28,8 +41,8 @@
 			absolute, err := filepath.Abs(programs)
 			is.NoErr(err)
 			s := &soaker.Soak{
-				Seed: run.seed, Length: run.length, Programs: absolute, Folder: t.TempDir(), Net: byte(firstNet + usedNets.Add(1)),
-				Print: func(line string) { t.Log(line) },
+				Seed: run.seed, Length: run.length, Grace: run.grace, Programs: absolute, Folder: t.TempDir(),
+				Net: byte(firstNet + usedNets.Add(1)), Print: func(line string) { t.Log(line) },
 			}
 			violations, err := s.Run(context.Background())
 			is.NoErr(err)
@@ -39,6 +52,9 @@
 			sent, complete := s.Counts()
 			t.Logf("%d of %d requests served, %d lags of plans checked", complete, sent, s.LagsChecked())
 			is.True(sent > 100)
+			late, served := s.LongWork()
+			t.Logf("%d of %d long requests to an instance that left served", served, late)
+			is.True(late > 20)
 		})
 	}
 }
