--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -132,7 +132,7 @@
 		s.injectEntryFault(f)
 	case entryRestartAll:
 		s.restartAll(f)
-	case workerKill, workerLeave:
+	case workerKill, workerLeave, workerReset:
 		s.injectWorkerFault(ctx, f)
 	case controllerStop, controllerKill, controllerFreeze, controllerWipe:
 		s.injectControllerFault(f)
--- a/standin/internal/soaker/stops.go
+++ b/standin/internal/soaker/stops.go
@@ -27,11 +27,12 @@
 	entryRestartAll kind = "entry-restart-all"
 	workerKill      kind = "worker-kill"
 	workerLeave     kind = "worker-leave"
+	workerReset     kind = "worker-reset"
 )
 
 var (
 	stopKinds   = []kind{entryStopTwice, entryStopStarting, entryStopThawed, entryStopFrozen, entryStopReloading}
-	workerKinds = []kind{workerKill, workerLeave, workerLeave}
+	workerKinds = []kind{workerKill, workerLeave, workerReset}
 )
 
 const (
--- a/standin/internal/soaker/workers.go
+++ b/standin/internal/soaker/workers.go
@@ -75,8 +75,15 @@
 	return slices.IndexFunc(workRoutes, func(r workRoute) bool { return strings.HasPrefix(a.Path, "/"+r.name+"/") })
 }
 
-// injectWorkerFault kills a target whose requests take long, or makes it leave, and starts another one in its place.
+// injectWorkerFault resets the connections of a target whose requests take long, or kills it or makes it leave, and then
+// starts another one in its place.
 func (s *Soak) injectWorkerFault(ctx context.Context, f fault) {
+	if f.kind == workerReset {
+		t := s.pickOf(workService, f.index, false)
+		s.linkFaults.record(t.ID)
+		t.relay.Reset()
+		return
+	}
 	t := s.pickOf(workService, f.index, true)
 	s.checkStarted("target", s.startTarget(workService))
 	if f.kind == workerKill {
