The soak knows the last limit in force at a process that ended

The soak took that version for replaced, since the log goes on with the start of the next process, an event that had no time. TestLimitsOfAProcessThatEndedCount fails without this.

--- a/standin/internal/soaker/broken_test.go
+++ b/standin/internal/soaker/broken_test.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"net/http"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -120,11 +122,10 @@
 	plans := []planEvent{
 		{at: sentAt.Add(-time.Minute), version: 1},
 		{at: sentAt.Add(-time.Second), version: 2 * limitVersions},
-		{start: true},
 		{at: sentAt.Add(arrivalTime / 2), version: 3 * limitVersions},
 		{at: sentAt.Add(2 * arrivalTime), version: 4 * limitVersions},
 	}
-	shortest := min(s.workload.limit(0, plans[1].version), s.workload.limit(0, plans[3].version))
+	shortest := min(s.workload.limit(0, plans[1].version), s.workload.limit(0, plans[2].version))
 	a := &speaker.Attempt{Upload: speaker.Upload{Path: "/work0/1", Deadline: time.Hour}}
 	a.SentAt = sentAt
 	a.EndedAt = sentAt.Add(shortest - 2*limitSlack)
@@ -133,6 +134,24 @@
 	is.True(s.overdueAttempt(a, plans))
 }
 
+// Guards against a check that leaves out the last limit in force at a process, as the log goes on with the next process.
+func TestLimitsOfAProcessThatEndedCount(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "e1.log")
+	is.NoErr(os.WriteFile(path, []byte(`ts=2026-01-02T03:04:05Z program=entry msg=starting grace=6s
+ts=2026-01-02T03:04:06Z program=entry msg="plan in force" version=30 revision=1
+ts=2026-01-02T03:04:16Z program=entry msg=starting grace=6s
+`), fileMode))
+	plans, err := readPlans(path)
+	is.NoErr(err)
+	is.Equal(len(plans), 3)
+	s := &Soak{workload: drawWorkload(7, testGrace)}
+	a := &speaker.Attempt{Upload: speaker.Upload{Path: "/work0/1", Deadline: time.Hour}}
+	a.SentAt = time.Date(2026, 1, 2, 3, 4, 7, 0, time.UTC)
+	a.EndedAt = a.SentAt.Add(s.workload.limit(0, plans[1].version))
+	is.True(s.overdueAttempt(a, plans))
+}
+
 // Guards against an answer that says not run, of a request that ran.
 func TestRefusedAttemptsMustNotHaveRun(t *testing.T) {
 	is := is.New(t)
--- a/standin/internal/soaker/plans.go
+++ b/standin/internal/soaker/plans.go
@@ -16,7 +16,7 @@
 
 // Lines of an entry instance's log: the start of a process, and a plan that comes into force.
 var (
-	startLine = regexp.MustCompile(`msg=starting `)
+	startLine = regexp.MustCompile(`ts=(\S+) .*msg=starting `)
 	planLine  = regexp.MustCompile(`ts=(\S+) .*msg="plan in force" version=(\d+)`)
 )
 
@@ -35,24 +35,32 @@
 	}
 	var out []planEvent
 	for line := range strings.Lines(string(data)) {
-		if startLine.MatchString(line) {
-			out = append(out, planEvent{start: true})
-			continue
-		}
-		m := planLine.FindStringSubmatch(line)
-		if m == nil {
-			continue
-		}
-		at, timeErr := time.Parse(time.RFC3339Nano, m[1])
-		version, versionErr := strconv.Atoi(m[2])
-		if err := errors.Join(timeErr, versionErr); err != nil {
+		e, present, err := readPlan(line)
+		if err != nil {
 			return nil, err
 		}
-		out = append(out, planEvent{at: at, version: version})
+		if present {
+			out = append(out, e)
+		}
 	}
 	return out, nil
 }
 
+// readPlan returns the event of a line of a log, and whether there is one.
+func readPlan(line string) (planEvent, bool, error) {
+	if m := startLine.FindStringSubmatch(line); m != nil {
+		at, err := time.Parse(time.RFC3339Nano, m[1])
+		return planEvent{at: at, start: true}, true, err
+	}
+	m := planLine.FindStringSubmatch(line)
+	if m == nil {
+		return planEvent{}, false, nil
+	}
+	at, timeErr := time.Parse(time.RFC3339Nano, m[1])
+	version, versionErr := strconv.Atoi(m[2])
+	return planEvent{at: at, version: version}, true, errors.Join(timeErr, versionErr)
+}
+
 // checkPlans checks by its log by which plans an entry instance has worked.
 func (s *Soak) checkPlans(i int) {
 	name := s.system.Entries[i].Name
