--- a/standin/internal/soaker/broken.go
+++ b/standin/internal/soaker/broken.go
@@ -64,10 +64,12 @@
 }
 
 // brokenOff reports whether a request ran and has no whole answer, or an answer of the instance's own in place of its
-// target's.
+// target's; or whether it did not run, was read and has no answer.
 func brokenOff(a *speaker.Attempt, runs []workRun) bool {
-	own := a.Status >= http.StatusInternalServerError && a.Signature == ""
-	return len(runs) > 0 && (!a.Whole() || own)
+	if len(runs) == 0 {
+		return a.Status == 0 && a.Sent && a.EndedAt.Sub(a.LastByteAt) > lossSlack
+	}
+	return !a.Whole() || a.Status >= http.StatusInternalServerError && a.Signature == ""
 }
 
 // overdueAttempt reports whether a request reached its limit or its deadline. The limit is the shortest of those in force at
--- a/standin/internal/soaker/broken_test.go
+++ b/standin/internal/soaker/broken_test.go
@@ -21,7 +21,7 @@
 	sent, ended, runEnds time.Duration
 	status               int
 	signature            string
-	notRun               bool
+	notRun, notSent      bool
 	// limit is the limit of the request's route, deadline its caller's; zero stands for one that is not reached.
 	limit, deadline time.Duration
 	prepare         func(s *Soak)
@@ -46,7 +46,7 @@
 		EndedAt: stoppedAt.Add(c.ended),
 	}
 	a.ID, a.Instance, a.SentAt, a.Status, a.Signature = "a-1", testInstance, stoppedAt.Add(c.sent), c.status, c.signature
-	a.LastByteAt = a.SentAt
+	a.LastByteAt, a.Sent = a.SentAt, !c.notSent
 	if c.status == 0 {
 		a.Err = errReset
 	}
@@ -70,6 +70,7 @@
 		"sent before":                  {sent: -time.Second, ended: 2 * time.Second, runEnds: 3 * time.Second, status: http.StatusBadGateway},
 		"before its limit":             {sent: 0, ended: 4 * time.Second, runEnds: 5 * time.Second, limit: 5 * time.Second},
 		"before its deadline":          {sent: 0, ended: 4 * time.Second, runEnds: 5 * time.Second, deadline: 5 * time.Second},
+		"read, not run, closed":        {sent: time.Second, ended: 2 * time.Second, notRun: true},
 		"refused late":                 {sent: time.Second, ended: 2 * time.Second, status: http.StatusServiceUnavailable, notRun: true},
 	} {
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(len(c.check(t)), 1) })
@@ -92,7 +93,8 @@
 	for name, c := range map[string]attemptCase{
 		"whole":            whole,
 		"target's failure": targetFailed,
-		"not run":          broken(func(c *attemptCase) { c.notRun = true }),
+		"not read":         broken(func(c *attemptCase) { c.notRun, c.notSent = true, true }),
+		"crossing a close": broken(func(c *attemptCase) { c.notRun, c.ended = true, c.sent+lossSlack/2 }),
 		"limit":            broken(func(c *attemptCase) { c.limit = 4 * time.Second }),
 		"deadline":         broken(func(c *attemptCase) { c.deadline = 4 * time.Second }),
 		"at work late":     broken(func(c *attemptCase) { c.ended = 10500 * time.Millisecond }),
