--- a/standin/internal/soaker/pipelines.go
+++ b/standin/internal/soaker/pipelines.go
@@ -210,6 +210,7 @@
 	err := s.system.StartPlatformEntry(i)
 	if err == nil {
 		s.entryPIDs[i].Store(int64(s.system.Entries[i].PID()))
+		s.entryStarts[i].Store(time.Now().UnixMilli())
 	}
 	return err
 }
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -72,6 +72,8 @@
 	// leaving is the number of entry instances that leave as planned.
 	leaving   int
 	entryPIDs [entries]atomic.Int64
+	// entryStarts are when the processes of entry instances started, in Unix milliseconds.
+	entryStarts [entries]atomic.Int64
 	// controllerFaults are the times of the faults of all controllers, under the name anyController.
 	controllerFaults disturbances
 }
@@ -163,6 +165,7 @@
 	}
 	for i, p := range s.system.Entries {
 		s.entryPIDs[i].Store(int64(p.PID()))
+		s.entryStarts[i].Store(time.Now().UnixMilli())
 	}
 	for i := range targets + workers {
 		name := service
