A stop leaves the time that its last closes take

What was seen: TestStopWaitsForSlowReaders/that_never_read fails: the stop ends after its time.

Cause: since the time between the last connections and the end of all services is shorter in proportion for a short stop, 4.5 ms for one of 0.5 s; to count and log the last closes takes up to one poll of 5 ms.

Why it works: the margin is at least 15 ms.

--- a/core/stopper/stopper.go
+++ b/core/stopper/stopper.go
@@ -12,6 +12,8 @@
 	exitMargin = 500 * time.Millisecond
 	// closeMargin is the time between the end of the last connections and that of all services.
 	closeMargin = 50 * time.Millisecond
+	// minCloseMargin is the least such time: it takes a few milliseconds to count and log the last closes.
+	minCloseMargin = 15 * time.Millisecond
 	// endMargin is the time between the last answers of requests and the cut of their connections.
 	endMargin = 200 * time.Millisecond
 	// serveLimit is how long new requests are taken at most: callers have read new look-ups by then.
@@ -77,7 +79,7 @@
 	if serve.After(end) {
 		serve = end
 	}
-	return Deadlines{Began: began, Serve: serve, End: end, Cut: cut, Close: exit.Add(-scale(closeMargin, grace)), Exit: exit}
+	return Deadlines{Began: began, Serve: serve, End: end, Cut: cut, Close: exit.Add(-max(minCloseMargin, scale(closeMargin, grace))), Exit: exit}
 }
 
 // contextKey is the key of Deadlines in a context.
