A target's early answer is relayed though its connection was closed

Cause: the transport of the standard library gives up a connection whose write fails, with the answer that has arrived and could be read.

A write to a target that fails now returns only once its connection is closed. What has arrived is read meanwhile: an answer is relayed; without one, reading ends at once and the transport closes the connection. It does not reuse one whose request is not written, and counts no byte of the failed write, so that what may be sent again stays as it was. The failed write takes the reset, so the end of an answer without a length is an error while bytes are not sent. Waiting for a share of a link, which fails for other reasons, is outside of this.

--- a/entry/internal/forwarder/connections.go
+++ b/entry/internal/forwarder/connections.go
@@ -93,9 +93,13 @@
 		// Bytes without end in place of a head would otherwise take megabytes for each attempt.
 		MaxResponseHeaderBytes: listener.MaxHeader,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil || target.Region == l.region {
-				return conn, err
+			raw, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			conn := newEarlyConn(raw)
+			if target.Region == l.region {
+				return conn, nil
 			}
 			return &pacedConn{
 				Conn:   conn,
