A stop ends as soon as its last connection has closed

Cause: http.Server.Shutdown looks ever more rarely whether connections are open, in the end every half second: at 0.51 s and then 1.02 s after its begin. What closes between is noticed after the cut.

TestStopEndsSoonAfterTheLastMultiplexedRequest failed 3 of 3 before, holds 3 of 3.

--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -295,6 +295,9 @@
 			if now.After(grace) {
 				l.socket.EndQuiet()
 			}
+			if open, _ := l.Connections(); open == 0 {
+				return nil // the server would notice up to half a second later
+			}
 		}
 	}
 }
--- a/core/listener/multiplexed_test.go
+++ b/core/listener/multiplexed_test.go
@@ -71,3 +71,34 @@
 	is.NoErr(stop(l))
 	is.Equal(<-received, size)
 }
+
+// Guards against a planned stop that reports requests as cut, though all have been answered and their connections of HTTP/2
+// closed: the server looks ever more rarely whether that is so.
+func TestStopEndsSoonAfterTheLastMultiplexedRequest(t *testing.T) {
+	is := is.New(t)
+	const work = 550 * time.Millisecond
+	begun := make(chan bool, 1)
+	l := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/late" {
+			begun <- true
+			time.Sleep(work)
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	client := sendMultiplexed(t, l)
+	answered := make(chan error, 1)
+	go func() {
+		response, err := client.Get("http://" + l.Address.String() + "/late")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		answered <- err
+	}()
+	<-begun
+	began := time.Now()
+	ctx, cancel := stopper.NewContext(t.Context(), stopper.Stopper{Timeout: work + 3*unusedGrace}.From(began))
+	defer cancel()
+	is.NoErr(l.Stop(ctx))
+	is.NoErr(<-answered)
+	is.True(time.Since(began) < work+2*unusedGrace)
+}
