--- a/core/stopper/stopper.go
+++ b/core/stopper/stopper.go
@@ -66,12 +66,17 @@
 	return time.Duration(float64(margin) * float64(grace) / float64(fullGrace))
 }
 
+// graceFor returns the grace period for which TimeoutFor returns a time-out.
+func graceFor(timeout time.Duration) time.Duration {
+	if grace := timeout + exitMargin; grace >= fullGrace {
+		return grace
+	}
+	return time.Duration(float64(timeout) * float64(fullGrace) / float64(fullGrace-exitMargin))
+}
+
 // From returns the deadlines of a stop that began at a time.
 func (s Stopper) From(began time.Time) Deadlines {
-	grace := s.Timeout + exitMargin
-	if grace < fullGrace {
-		grace = time.Duration(float64(s.Timeout) * float64(fullGrace) / float64(fullGrace-exitMargin))
-	}
+	grace := graceFor(s.Timeout)
 	exit := began.Add(s.Timeout)
 	cut := exit.Add(-scale(s.Reserve, grace))
 	end := cut.Add(-scale(endMargin, grace))
@@ -79,7 +84,8 @@
 	if serve.After(end) {
 		serve = end
 	}
-	return Deadlines{Began: began, Serve: serve, End: end, Cut: cut, Close: exit.Add(-max(minCloseMargin, scale(closeMargin, grace))), Exit: exit}
+	closing := exit.Add(-max(minCloseMargin, scale(closeMargin, grace)))
+	return Deadlines{Began: began, Serve: serve, End: end, Cut: cut, Close: closing, Exit: exit}
 }
 
 // contextKey is the key of Deadlines in a context.
--- a/core/stopper/stopper_test.go
+++ b/core/stopper/stopper_test.go
@@ -48,3 +48,12 @@
 	is.Equal(at, d.Exit)
 	is.True(FromContext(context.Background()).End.After(time.Now().Add(24 * time.Hour)))
 }
+
+// Guards against margins that belong to another grace period than the settings name.
+func TestGraceFollowsFromItsTimeout(t *testing.T) {
+	for _, grace := range graces {
+		t.Run(grace.String(), func(t *testing.T) {
+			is.New(t).Equal(graceFor(TimeoutFor(grace)).Round(time.Microsecond), grace)
+		})
+	}
+}
--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -138,9 +138,9 @@
 		r.Header.Get(refuser.HeaderOutcome) == string(refuser.NotRun)
 }
 
-// attemptContext returns the context of one attempt, which ends when the last answers are due in a planned stop. A request that must not repeat continues when its caller
-// disconnects: if it were cancelled, its outcome would be unknown, whereas its stored outcome can answer the caller's
-// repeat.
+// attemptContext returns the context of one attempt, which ends when the last answers are due in a planned stop. A request
+// that must not repeat continues when its caller disconnects: if it were cancelled, its outcome would be unknown, whereas its
+// stored outcome can answer the caller's repeat.
 func (f *Forwarder) attemptContext(j *job) (context.Context, context.CancelFunc) {
 	ctx := j.ctx
 	if j.once() {
