Endless chunks end before the deadline, whatever the machine

TestEndlessChunksAreGivenUp/chunks failed once with the race detector beside load 16: given up as too large, as it should, but after 2.32 s; the bound of 2 s was the machine's, not the product's. The check now asks that the attempt ends before its deadline, and by no time-out of the connection either, which it did not look for.

--- a/entry/internal/pooler/chunks_test.go
+++ b/entry/internal/pooler/chunks_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -42,7 +43,8 @@
 			_, outcome, err := p.Send(ctx, target.address, request("x"))
 			t.Logf("%v after %v", err, time.Since(began))
 			is.Equal(outcome, Broken)
-			is.True(!errors.Is(err, context.DeadlineExceeded) && time.Since(began) < 2*time.Second)
+			is.NoErr(ctx.Err()) // not at the deadline
+			is.True(!errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, os.ErrDeadlineExceeded))
 			is.Equal(p.buffers.total, int64(0))
 		})
 	}
