The soak reserves a process before it makes its connections silent

The list of processes was taken before their reservations; e3 was stopped as planned from 17:13:49.96 to 51.41, so its reservation was free again and its process gone. The process is now read once it is reserved.

--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -196,23 +196,25 @@
 // silenceControl makes the open connections for internal calls go silent at one controller, or at all entry instances that
 // have no other fault.
 func (s *Soak) silenceControl(f fault) {
-	silenced := map[string]*starter.Process{}
 	if f.index%2 == 0 {
 		i := f.index / 2 % controllers
-		silenced[fmt.Sprintf("c%d", i)] = s.system.Controllers[i]
-	} else {
-		for i, p := range s.system.Entries {
-			silenced[fmt.Sprintf("e%d", i)] = p
-		}
+		s.silence(fmt.Sprintf("c%d", i), s.system.Controllers, i)
+		return
 	}
-	for name, p := range silenced {
-		if !s.reserve(name) {
-			continue
-		}
-		if _, err := silencer.Silence(p.PID(), isControl); err != nil {
-			s.checker.fail("connections of %s not silenced: %v", name, err)
-		}
-		s.release(name)
+	for i := range entries {
+		s.silence(fmt.Sprintf("e%d", i), s.system.Entries, i)
+	}
+}
+
+// silence makes the open connections for internal calls go silent at process i of a list, unless it has another fault.
+func (s *Soak) silence(name string, list []*starter.Process, i int) {
+	if !s.reserve(name) {
+		return
+	}
+	defer s.release(name)
+	// Only now is it known that the process isn't just being replaced.
+	if _, err := silencer.Silence(list[i].PID(), isControl); err != nil {
+		s.checker.fail("connections of %s not silenced: %v", name, err)
 	}
 }
 
