--- a/entry/internal/carrier/complete_test.go
+++ b/entry/internal/carrier/complete_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 
 	"chervilrail.example/platform/translator"
@@ -23,10 +24,10 @@
 func TestBodyThatIsCompleteWhenItsInstanceLeavesIsAnswered(t *testing.T) {
 	c, _ := startCarrier(t, signedAnswer(http.StatusOK))
 	ctx, cancel := context.WithCancel(t.Context())
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h.example/once/1", lastPart{func() {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h.example/once/1", lastPart{sync.OnceFunc(func() {
 		c.Leave(stopIn(promptly))
 		cancel()
-	}})
+	})})
 	r.Header.Set(translator.HeaderAttemptID, "a")
 	w := httptest.NewRecorder()
 	c.ServeHTTP(w, r)
